--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,292 @@
+//! What the decisions are told and what they ask for, free of any protocol.
+//!
+//! A front builds a [`crate::choice::Choice`] from the records below, hands it every [`Event`] together with
+//! the clock, and carries out the [`Action`]s in the order given. Times are milliseconds.
+
+/// Milliseconds, with fractions.
+pub type Ms = f64;
+/// A txn's id, as the front gave it.
+pub type TxnId = u32;
+/// The number of a build; a later build has a higher one.
+pub type Build = u32;
+/// A load report: names and values.
+pub type Load = Vec<(String, f64)>;
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The list of instances, or changes to it; entries are empty when the call failed.
+    Fleet { kind: ListKind, version: u64, entries: Vec<Listing> },
+    /// A client's txn came in; `left` is the time until this try expires.
+    Txn {
+        id: TxnId,
+        product: String,
+        tenant: Option<String>,
+        key: Option<String>,
+        left: Ms,
+        work: Option<Ms>,
+        repeat: bool,
+        write: bool,
+    },
+    /// A streamed answer has begun; the submission now belongs to the client.
+    Began { id: TxnId, submission: u32, instance: String, took: Ms },
+    /// A submission ended. `closed`: the txn has its final answer.
+    Ended { id: TxnId, submission: u32, instance: String, ending: Ending, closed: bool, took: Ms, load: Load },
+    /// The client went away; nothing is owed any more.
+    ClientGone { id: TxnId },
+    /// A timer came due.
+    Timer { token: String },
+    /// A probe ended.
+    Probed { instance: String, ending: Ending, took: Ms, load: Load },
+    /// A message from another gateway.
+    Peer { from: u32, data: Vec<u8> },
+    /// What the platform says of the newest build, or its answer to a vote.
+    Stage(StageNews),
+    /// What the platform counted for one build and product over the past period.
+    Tally { build: Build, product: String, count: u64, failed: u64, took: Option<Ms>, age: Ms },
+    /// A client found an answer wrong.
+    Flagged { instance: String, product: String, age: Ms },
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the txn to an instance; no limit: until the client gives up.
+    Submit { id: TxnId, instance: String, limit: Option<Ms> },
+    /// Final answer: not done, trying again is harmless.
+    Decline { id: TxnId, come_back: Option<Ms> },
+    /// Final answer: failed, with no promise as to its effect.
+    Void { id: TxnId },
+    /// Stop waiting for one submission.
+    Recall { id: TxnId, submission: u32 },
+    /// Ask for a timer.
+    Wake { after: Ms, token: String },
+    /// Probe an instance.
+    Probe { instance: String },
+    /// Close idle connections to an instance.
+    CloseIdle { instance: String },
+    /// Tell another gateway, or all of them.
+    Tell { to: Option<u32>, data: Vec<u8> },
+    /// Ask for changes of the list from now on, or stop them.
+    Watch { on: bool },
+    /// Ask for the whole list once.
+    Fetch,
+    /// Vote on a build.
+    Vote { build: Build, stage: u32, verdict: Verdict },
+    /// A line for the operators.
+    Log(String),
+}
+
+/// How a list of instances is to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Only what changed.
+    Changes,
+    /// The whole list.
+    Whole,
+    /// The whole list as last held, perhaps stale.
+    Cached,
+    /// A call failed or the watch broke; the list stays.
+    Failed,
+}
+
+/// One instance on the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    pub instance: String,
+    pub state: Standing,
+    pub build: Build,
+    pub zone: String,
+    pub cell: u32,
+    pub kind: String,
+    pub weight: f64,
+    /// Clock time of the last start; 0: long ago.
+    pub since: Ms,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How a submission or probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Settled,
+    Error,
+    TurnedAway,
+    NoAnswer,
+    NoConnection,
+    ConnectionLost,
+    Recalled,
+    NotSent,
+}
+
+impl Ending {
+    /// True where the ending proves that the submission never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::TurnedAway | Ending::NoConnection | Ending::NotSent)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    OnTrial,
+    GoingBack,
+    Released,
+    Withdrawn,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    None,
+    On,
+    Hold,
+    Back,
+}
+
+/// News of the newest build. The fields after `answer` count only where `valid`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StageNews {
+    pub valid: bool,
+    /// The vote may have counted though no answer came.
+    pub unsure: bool,
+    /// In answer to a vote.
+    pub answer: bool,
+    pub build: Build,
+    pub stage: u32,
+    pub phase: Phase,
+    pub cap: f64,
+    pub age: Ms,
+}
+
+/// Where this gateway stands among its like.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    pub me: u32,
+    pub gateways: u32,
+    pub zone: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    InquiryLike,
+    Referenced,
+    OnceOnly,
+}
+
+/// Which instances drop repeats of a referenced txn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Product {
+    pub name: String,
+    pub effect: Effect,
+    pub group: Group,
+    /// How long repeats are dropped, from the first send that may have run.
+    pub remember: Ms,
+    pub sla: Ms,
+    /// The SLA time grows by this multiple of the txn's own work.
+    pub sla_stretch: f64,
+    pub expiry: Ms,
+    pub revenue: f64,
+    pub late_share: f64,
+    pub streamed: bool,
+}
+
+/// A tenant's share of the service, over all gateways.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    pub name: String,
+    pub quota_per_s: f64,
+    pub share: f64,
+}
+
+/// What a gateway may do.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Permits {
+    pub submissions: usize,
+    pub second_copies: bool,
+    pub recall: bool,
+    pub probes: bool,
+    pub peers: bool,
+    /// The longest time to come back that clients honour; none where they get no such advice.
+    pub come_back: Option<Ms>,
+}
+
+/// The figures of drains and of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListTerms {
+    /// The list has to be asked for.
+    pub asked: bool,
+    pub ask_within: Ms,
+    pub drain_grace: Ms,
+}
+
+/// How instances start, and what tips a cold one over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ColdStart {
+    pub from: f64,
+    pub warm_up: Ms,
+    pub multiple: f64,
+    pub span: Ms,
+}
+
+/// The rule on exposure.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ExposureTerms {
+    pub free: f64,
+    pub caps: Vec<f64>,
+    pub window: Ms,
+    pub by_product: bool,
+    pub closed_stages: u32,
+    pub no_return: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VoteMode {
+    Single,
+    Majority,
+    Clocked,
+}
+
+/// How builds are voted on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VoteTerms {
+    pub mode: VoteMode,
+    pub to_go: u32,
+    pub to_pause: u32,
+    pub to_revert: u32,
+    /// How long a vote stands.
+    pub stands: Ms,
+    pub soak: Ms,
+    pub auto_after: Ms,
+    pub answer_within: Ms,
+    /// The earlier instances stay until the release.
+    pub beside: bool,
+}
+
+/// What else there is to judge by.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Evidence {
+    /// The share of wrong answers that clients report.
+    pub flag_share: f64,
+    /// The period of the platform's counts; 0: none.
+    pub tally: Ms,
+    pub tally_share: f64,
+}
+
+/// What crossing zones costs, and what a txn beyond its tenant's share is worth.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Costs {
+    pub cross_zone: f64,
+    pub over_share: f64,
+    pub probe: f64,
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,108 @@
+//! Plain records that the decisions keep; no decisions here.
+
+use crate::api::{Build, Ending, Ms};
+
+/// One submission of a txn.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    pub server: usize,
+    /// Which life of that dense index it went to; ids are reused.
+    pub life: u32,
+    pub build: Build,
+    pub zone: String,
+    pub cell: u32,
+    pub sent: Ms,
+    /// Capacity that the instance had at least, when it was sent.
+    pub warmth: f64,
+    pub ending: Option<Ending>,
+    pub recalled: bool,
+}
+
+/// A txn taken and not yet forgotten.
+#[derive(Clone, Debug)]
+pub struct Txn {
+    pub product: usize,
+    pub tenant: Option<usize>,
+    pub key: Option<String>,
+    pub came: Ms,
+    /// When the client gives up on this try.
+    pub expires: Ms,
+    /// When an answer stops being in time.
+    pub in_time: Ms,
+    pub work: Option<Ms>,
+    pub over_share: bool,
+    pub submissions: Vec<Submission>,
+    pub streaming: bool,
+    pub answered: bool,
+}
+
+impl Txn {
+    pub fn outstanding(&self) -> usize {
+        self.submissions.iter().filter(|s| s.ending.is_none()).count()
+    }
+}
+
+/// Count, mean and summed squared deviations of scores.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Arm {
+    pub count: f64,
+    pub mean: f64,
+    pub squares: f64,
+}
+
+impl Arm {
+    pub fn add(&mut self, score: f64) {
+        self.count += 1.0;
+        let off = score - self.mean;
+        self.mean += off / self.count;
+        self.squares += off * (score - self.mean);
+    }
+
+    /// Turns one score of 1 into 0.
+    pub fn zero_one(&mut self) {
+        if self.count >= 1.0 && self.mean > 0.0 {
+            let was = self.mean;
+            self.mean = (was - 1.0 / self.count).max(0.0);
+            self.squares = (self.squares + self.count * (was * was - self.mean * self.mean) - 1.0).max(0.0);
+        }
+    }
+
+    pub fn merge(&mut self, other: &Arm) {
+        let count = self.count + other.count;
+        if count > 0.0 {
+            let off = other.mean - self.mean;
+            self.squares += other.squares + off * off * self.count * other.count / count;
+            self.mean += off * other.count / count;
+            self.count = count;
+        }
+    }
+
+    /// Weighs all scores so far down to this share.
+    pub fn fade(&mut self, share: f64) {
+        self.count *= share;
+        self.squares *= share;
+    }
+}
+
+/// Figures on instances, in parallel arrays under one dense index.
+#[derive(Clone, Debug, Default)]
+pub struct Servers {
+    pub id: Vec<String>,
+    pub zone: Vec<String>,
+    pub cell: Vec<u32>,
+    pub build: Vec<Build>,
+    pub weight: Vec<f64>,
+    pub since: Vec<Ms>,
+    pub ready: Vec<bool>,
+    pub life: Vec<u32>,
+    pub in_flight: Vec<u32>,
+    pub in_flight_cap: Vec<f64>,
+    pub last_answer: Vec<Ms>,
+    pub last_cut: Vec<Ms>,
+    pub errors: Vec<f64>,
+    pub aside_until: Vec<Ms>,
+    pub aside_times: Vec<u32>,
+    pub score: Vec<Arm>,
+    pub pace: Vec<Arm>,
+    pub sends: Vec<std::collections::VecDeque<Ms>>,
+}
