--- a/src/api.rs
+++ b/src/api.rs
@@ -163,7 +163,7 @@
 }
 
 /// Where this gateway stands among its like.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Place {
     pub me: u32,
     pub gateways: u32,
@@ -210,7 +210,7 @@
 }
 
 /// What a gateway may do.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Permits {
     pub submissions: usize,
     pub second_copies: bool,
@@ -222,7 +222,7 @@
 }
 
 /// The figures of drains and of the list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ListTerms {
     /// The list has to be asked for.
     pub asked: bool,
@@ -231,7 +231,7 @@
 }
 
 /// How instances start, and what tips a cold one over.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ColdStart {
     pub from: f64,
     pub warm_up: Ms,
@@ -240,7 +240,7 @@
 }
 
 /// The rule on exposure.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ExposureTerms {
     pub free: f64,
     pub caps: Vec<f64>,
@@ -250,15 +250,16 @@
     pub no_return: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum VoteMode {
+    #[default]
     Single,
     Majority,
     Clocked,
 }
 
 /// How builds are voted on.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct VoteTerms {
     pub mode: VoteMode,
     pub to_go: u32,
@@ -274,7 +275,7 @@
 }
 
 /// What else there is to judge by.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Evidence {
     /// The share of wrong answers that clients report.
     pub flag_share: f64,
@@ -284,7 +285,7 @@
 }
 
 /// What crossing zones costs, and what a txn beyond its tenant's share is worth.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Costs {
     pub cross_zone: f64,
     pub over_share: f64,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,83 +5,70 @@
 //! the seed. The ordinary path is FIESTA's top-two rule, see docs/design.md for what was added and why.
 
 use crate::api::*;
-use crate::state::{Arm, Servers, Submission, Txn};
+use crate::state::{Arm, Servers, Submission, Times, Txn};
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, StudentT};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, VecDeque};
-
-/// ms between looks at held and silent txns: a few of the finest batches.
-const TICK: Ms = 10.0;
-/// ms between two judgements (design page).
-const JUDGE_EVERY: Ms = 250.0;
-/// Draws per build for π (design page).
-const DRAWS: u32 = 200;
-/// Outcomes per build before π means anything (design page).
-const LEAST_OUTCOMES: f64 = 10.0;
-/// Least summed squared deviation per outcome (design page).
-const SQUARES_FLOOR: f64 = 0.01;
-/// Chance of a wrong way back (design page), shared among all gateways whose single vote suffices.
-const DELTA: f64 = 0.05;
-/// π of the earlier build above which nothing goes on (design page).
-const DOUBT: f64 = 0.8;
-/// ms that π must stay above 1 - δ (design page).
-const SURE_FOR: Ms = 1000.0;
-/// ms the same where one machine alone carries the trial: long enough for a passing trouble of its own.
-const SOLO_SURE_FOR: Ms = 4000.0;
-/// ms after the newest trial start before going on (design page).
-const SETTLE: Ms = 3000.0;
-/// ms after the newest trial start when too few outcomes no longer keep a trial waiting.
-const FEW_PATIENCE: Ms = 6000.0;
-/// ms in which the weight of an outcome halves: long enough for hundreds of them, short enough for late harm.
-const FADE_HALF: Ms = 8000.0;
-/// Log of the slowdown that is no matter of taste: good builds differ by less.
-const PACE_MARGIN: f64 = 0.26;
-/// Weight of the newest value in running means.
-const NEWEST: f64 = 0.1;
-/// In-flight caps per instance: fresh, known from the start, and the most.
-const FRESH_CAP: f64 = 2.0;
-const KNOWN_CAP: f64 = 8.0;
-const MOST_CAP: f64 = 64.0;
-/// Factor on the cap when answers come late or are turned away.
-const CAP_CUT: f64 = 0.7;
-/// Share of the SLA time after which an answer shows a queue, unless the txn itself was that heavy.
-const LATE_SHARE: f64 = 0.7;
-/// Share of the SLA time that a silent instance gets before a txn is sent elsewhere.
-const PATIENCE: f64 = 0.5;
-/// Share of errors at which an instance is left aside, and of the others of its build below which it is alone.
-const SICK_ERRORS: f64 = 0.6;
-const WELL_ERRORS: f64 = 0.25;
-/// ms that an instance is left aside at first, and at most.
-const ASIDE: Ms = 500.0;
-const ASIDE_MOST: Ms = 4000.0;
-/// Further submissions per txn taken, and how many may be saved up: more would feed an overload.
-const RESEND_SHARE: f64 = 0.15;
-const RESEND_SAVED: f64 = 10.0;
-/// ms kept from the end of a span that a rule sets, for the way there.
-const MARGIN: Ms = 20.0;
-/// Submissions that a cold instance may get at once beyond its part.
-const COLD_BURST: f64 = 1.0;
-/// ms over which this gateway's own rate is taken.
-const RATE_SPAN: Ms = 2000.0;
-/// A rate this much above the usual is no measure of what a cold instance can take.
-const RATE_SURGE: f64 = 1.5;
-/// Share of warm instances from which the rate counts as usual.
-const MOSTLY_WARM: f64 = 0.8;
-/// In-flight that an instance across zones counts extra, where crossing costs.
-const CROSS_BIAS: f64 = 0.7;
-/// ms before a failed call for the list is repeated, and before an unanswered one is.
-const ASK_AGAIN: Ms = 500.0;
-const ASK_LOST: Ms = 4000.0;
-/// ms before a vote that did not count is repeated.
-const VOTE_AGAIN: Ms = 500.0;
+use std::collections::BTreeMap;
+
+const TICK: Ms = 10.0; // ms between looks at held and silent txns: a few of the finest batches
+const JUDGE_EVERY: Ms = 250.0; // ms between two judgements (design page)
+const DRAWS: u32 = 200; // draws per build for π (design page)
+const LEAST_OUTCOMES: f64 = 10.0; // outcomes per build before π means anything (design page)
+const SQUARES_FLOOR: f64 = 0.01; // least summed squared deviation per outcome (design page)
+const DELTA: f64 = 0.05; // chance of a wrong way back (design page), shared among all that may vote it alone
+const DOUBT: f64 = 0.8; // π of the earlier build above which nothing goes on (design page)
+const SURE_FOR: Ms = 1000.0; // ms that π must stay above 1 - δ (design page)
+const SOLO_SURE_FOR: Ms = 4000.0; // ms the same for one machine alone or amid dead ones: outlasts its own trouble
+const GONE_SURE_FOR: Ms = 3000.0; // ms the same against the time before: outlasts a short burst
+const SETTLE: Ms = 3000.0; // ms after the newest trial start before going on (design page)
+const FEW_PATIENCE: Ms = 4000.0; // ms after that start when too few outcomes no longer keep a trial waiting
+const FADE_HALF: Ms = 4000.0; // ms in which an outcome's weight halves: long for power, short for late harm
+const NOW_HALF: Ms = 1500.0; // ms the same for how the whole fleet does now
+const PACE_MARGIN: f64 = 0.26; // log of 1.3: good builds differ by less in time per work
+const UNWELL_PACE: f64 = 0.26; // log of 1.3: the whole fleet is slower than before the trial
+const STEP_MARGIN: f64 = 0.1; // log of 1.1: earlier instances are quicker while the trial gets nothing
+const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
+const COLLAPSE: f64 = 0.3; // the same that no good build costs, however loaded
+const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
+const REHEARSAL: Ms = 2000.0; // ms that the trial carries nearly all before its release
+const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
+const SLOT: Ms = 1500.0; // ms of each turn, by the clock all gateways share, with or without the trial
+const SLOT_LEAD: f64 = 0.4; // share of a turn in which queues still tell of the turn before
+const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
+const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
+const SURGE: f64 = 1.4; // times the usual rate above which trouble is the clients'
+const NEWEST: f64 = 0.1; // weight of the newest value in running means
+const FRESH_CAP: f64 = 2.0; // in flight at a fresh instance: one running, one to follow
+const KNOWN_CAP: f64 = 4.0; // in flight at an instance met long started
+const MOST_CAP: f64 = 64.0; // in flight at the most
+const CAP_GAIN: f64 = 0.25; // how far one answer moves that cap
+const QUEUE_SHARE: f64 = 0.35; // mean share of the SLA time that answers may take before the cap falls
+const PATIENCE: f64 = 0.5; // share of the SLA time that a silent instance gets before a txn goes elsewhere
+const HEAVY: f64 = 3.0; // times its usual or hinted time that a txn may take without suspicion
+const SICK_ERRORS: f64 = 0.6; // share of errors of a sick machine; builds were never met that bad
+const WELL_ERRORS: f64 = 0.25; // share of errors of its like below which it is sick alone
+const ASIDE: Ms = 500.0; // ms that an instance is left aside at first, doubling
+const ASIDE_MOST: Ms = 4000.0; // ms that it is left aside at most: lost capacity costs too
+const RESEND_SHARE: f64 = 0.15; // further submissions per txn taken: more would feed an overload
+const RESEND_SAVED: f64 = 10.0; // of these that may be saved up
+const MARGIN: Ms = 20.0; // ms kept from the ends of spans that rules set
+const COLD_BURST: f64 = 1.0; // submissions that a cold instance may get beyond its part of the rate
+const RATE_SPAN: Ms = 2000.0; // ms over which this gateway's own rate is taken
+const RATE_SURGE: f64 = 1.5; // times the usual rate that a cold instance's part may reach
+const MOSTLY_WARM: f64 = 0.8; // share of warm instances from which the rate counts as usual
+const CROSS_BIAS: f64 = 0.7; // in flight that an instance across zones counts extra, where crossing costs
+const ASK_AGAIN: Ms = 500.0; // ms before a failed call for the list is repeated
+const ASK_LOST: Ms = 4000.0; // ms before an unanswered call is taken as lost
+const VOTE_AGAIN: Ms = 500.0; // ms before a vote that did not count is repeated
 
 /// The rule on exposure: what each build on trial got, against what came in.
+#[derive(Default)]
 struct Exposure {
     terms: ExposureTerms,
     news: Option<StageNews>,
-    arrivals: Vec<VecDeque<Ms>>,
-    sends: BTreeMap<(Build, usize), VecDeque<Ms>>,
+    arrivals: Vec<Times>,
+    sends: BTreeMap<(Build, usize), Times>,
     bound: BTreeMap<String, Build>,
 }
 
@@ -96,7 +83,6 @@
             // Without news the newest builds are taken as unannounced: the first stage's cap.
             None => (build > lowest).then_some((self.terms.caps[0], 0)),
             Some(news) if build > news.build => Some((self.terms.caps[0], 0)),
-            Some(news) if build == news.build && news.phase == Phase::OnTrial => Some((news.cap, news.stage)),
             Some(news) if build == news.build && news.phase != Phase::Released => {
                 Some((news.cap, news.stage))
             }
@@ -116,22 +102,19 @@
         }
         let lane = self.lane(txn.product);
         let since = now - self.terms.window;
-        let sent = self.sends.get(&(build, lane)).map_or(0, |sends| count_since(sends, since - MARGIN));
-        let came = count_since(&self.arrivals[lane], since + MARGIN);
+        let sent = self.sends.get(&(build, lane)).map_or(0, |sends| sends.since(since - MARGIN));
+        let came = self.arrivals[lane].since(since + MARGIN);
         (sent + 1) as f64 <= self.terms.free + cap * came as f64
     }
 
     fn note_send(&mut self, product: usize, build: Build, now: Ms) {
         let lane = self.lane(product);
-        let sends = self.sends.entry((build, lane)).or_default();
-        forget_before(sends, now - 2.0 * self.terms.window);
-        sends.push_back(now);
+        self.sends.entry((build, lane)).or_default().note(now, 2.0 * self.terms.window);
     }
 
     fn note_arrival(&mut self, product: usize, now: Ms) {
         let lane = self.lane(product);
-        forget_before(&mut self.arrivals[lane], now - 2.0 * self.terms.window);
-        self.arrivals[lane].push_back(now);
+        self.arrivals[lane].note(now, 2.0 * self.terms.window);
     }
 
     /// A key that the new build has answered goes to no earlier one while the new one stands.
@@ -153,187 +136,222 @@
     }
 }
 
-fn count_since(times: &VecDeque<Ms>, since: Ms) -> usize {
-    times.len() - times.partition_point(|time| *time <= since)
-}
-
-fn forget_before(times: &mut VecDeque<Ms>, since: Ms) {
-    while times.front().is_some_and(|time| *time < since) {
-        times.pop_front();
-    }
-}
-
-/// What π says of a build on trial.
-#[derive(Clone, Copy, Default)]
-struct Doubt {
-    /// The larger π of the earlier build, by scores or by pace.
-    pi: f64,
-    /// Enough outcomes on both sides.
-    enough: bool,
-    outcomes: f64,
-}
-
 /// Judges builds and votes.
+#[derive(Default)]
 struct Judge {
     terms: VoteTerms,
     delta: f64,
     judged: Ms,
-    doubt: Doubt,
+    /// The larger π of the earlier build, and the trial's outcomes behind it.
+    pi: f64,
+    outcomes: f64,
+    enough: bool,
     sure_since: Option<Ms>,
     trial: Option<Build>,
+    released: Option<(Build, Ms)>,
+    rehearsed: Option<Ms>,
     /// The build that was found bad: that verdict stays.
     condemned: Option<Build>,
-    /// Last vote, when it was cast, and whether it is known to stand.
     vote: Option<(Build, u32, Verdict)>,
     voted: Ms,
     stands: bool,
-    /// Mean log time per product on earlier builds.
+    /// Mean log pace per product, and share in time, while no build was on trial.
     base: Vec<Arm>,
+    before: Arm,
+    /// Score and pace of the instances that are not on trial, just now.
+    now: [Arm; 2],
+    unwell: bool,
+    alone: bool,
+    /// Pace of the earlier instances in turns with and without traffic on trial.
+    turns: [Arm; 2],
 }
 
 impl Judge {
     /// Takes one outcome into the arms of its instance.
-    fn learn(
-        &mut self,
-        servers: &mut Servers,
-        sub: &Submission,
-        txn: &Txn,
-        ending: Ending,
-        took: Ms,
-        sla: Ms,
-    ) {
+    fn learn(&mut self, s: &mut Servers, sub: &Submission, txn: &Txn, ending: Ending, took: Ms, sla: Ms) {
         let i = sub.server;
         // A machine that is down, full or silent tells of itself, not of its build.
-        let quiet = ending == Ending::NoAnswer && servers.last_answer[i] < sub.sent;
+        let quiet = ending == Ending::NoAnswer && s.last_answer[i] < sub.sent;
         if quiet || !matches!(ending, Ending::Settled | Ending::Error | Ending::NoAnswer) {
             return;
         }
         // A cold machine is no slow build: its time counts as at the capacity that it had at least.
         let warm_time = took * sub.warmth;
-        let in_time = ending == Ending::Settled && warm_time <= sla;
-        servers.score[i].add(f64::from(u8::from(in_time)));
+        let score = f64::from(u8::from(ending == Ending::Settled && warm_time <= sla));
+        s.score[i].add(score);
+        let calm = self.trial.is_none() && self.released.is_none();
+        let learn_base = |arm: &mut Arm, value: f64| {
+            if calm || arm.count < LEAST_OUTCOMES {
+                arm.add(value);
+                arm.fade(0.995);
+            }
+        };
+        learn_base(&mut self.before, score);
+        let on_trial = self.trial == Some(sub.build);
+        if !on_trial || self.alone {
+            self.now[0].add(score);
+        }
         if ending == Ending::Settled {
             let pace = -(warm_time.max(0.1) / txn.work.map_or(1.0, |work| work.max(0.1))).ln();
-            let base = &mut self.base[txn.product];
-            if self.trial != Some(sub.build) {
-                base.add(pace);
-                base.fade(0.995);
+            learn_base(&mut self.base[txn.product], pace);
+            let pace = pace - self.base[txn.product].mean;
+            s.pace[i].add(pace);
+            if !on_trial || self.alone {
+                self.now[1].add(pace);
+            }
+            if self.unwell && !on_trial && (sub.sent / SLOT).fract() >= SLOT_LEAD {
+                self.turns[usize::from(Self::odd_turn(sub.sent))].add(pace);
             }
-            servers.pace[i].add(pace - base.mean);
         }
     }
 
-    /// The share of draws in which the earlier build is best, even with a handicap.
-    fn pi(rng: &mut Pcg64Mcg, earlier: &Arm, trial: &Arm, handicap: f64) -> f64 {
+    fn odd_turn(now: Ms) -> bool {
+        (now / SLOT).rem_euclid(2.0) >= 1.0
+    }
+
+    /// While all instances are slow, every other turn spares the trial: if that helps, the build is the cause.
+    fn withholds(&self, now: Ms) -> bool {
+        self.unwell && self.trial.is_some() && Self::odd_turn(now)
+    }
+
+    /// The share of draws in which the first arm is best, even with a handicap.
+    fn pi(rng: &mut Pcg64Mcg, first: &Arm, second: &Arm, handicap: f64) -> f64 {
         let posterior = |arm: &Arm| {
             let squares = arm.squares.max(SQUARES_FLOOR * arm.count);
             let spread = (squares / (arm.count * (arm.count - 2.0))).sqrt();
-            StudentT::new(arm.count - 2.0).ok().map(|t| (arm.mean, spread, t))
+            let enough = arm.count >= LEAST_OUTCOMES;
+            enough.then(|| StudentT::new(arm.count - 2.0).ok()).flatten().map(|t| (arm.mean, spread, t))
         };
-        let (Some(earlier), Some(trial)) = (posterior(earlier), posterior(trial)) else { return 0.5 };
+        let (Some(first), Some(second)) = (posterior(first), posterior(second)) else { return 0.5 };
         let mut wins = 0.0;
         for _ in 0..DRAWS {
-            let first = earlier.0 - handicap + earlier.1 * earlier.2.sample(rng);
-            let second = trial.0 + trial.1 * trial.2.sample(rng);
-            wins += if first > second { 1.0 } else { f64::from(u8::from(first == second)) * 0.5 };
+            let one = first.0 - handicap + first.1 * first.2.sample(rng);
+            let other = second.0 + second.1 * second.2.sample(rng);
+            wins += if one > other { 1.0 } else { f64::from(u8::from(one == other)) * 0.5 };
         }
         wins / f64::from(DRAWS)
     }
 
     /// π by one kind of arm; a single machine far worse than the rest of its build does not count.
-    fn doubt_by(
-        rng: &mut Pcg64Mcg,
-        arms: &[Arm],
-        trial: &[usize],
-        earlier: &[usize],
-        handicap: f64,
-    ) -> Doubt {
-        let pool = |members: &[usize], left_out: Option<usize>| {
-            let mut sum = Arm::default();
-            members.iter().filter(|i| Some(**i) != left_out).for_each(|i| sum.merge(&arms[*i]));
-            sum
-        };
-        let (old, new) = (pool(earlier, None), pool(trial, None));
-        let enough = |arm: &Arm| arm.count >= LEAST_OUTCOMES;
-        if !enough(&old) || !enough(&new) {
-            return Doubt { pi: 0.5, enough: false, outcomes: new.count };
-        }
-        let mut pi = Self::pi(rng, &old, &new, handicap);
+    fn pi_by(rng: &mut Pcg64Mcg, arms: &[Arm], trial: &[usize], earlier: &[usize], handicap: f64) -> f64 {
+        let (old, new) = (pool(arms, earlier, None), pool(arms, trial, None));
+        let pi = Self::pi(rng, &old, &new, handicap);
         let harm = |i: &usize| arms[*i].count * (new.mean - arms[*i].mean);
         let worst = trial.iter().copied().max_by(|a, b| harm(a).total_cmp(&harm(b)));
-        let rest = pool(trial, worst);
-        if pi > DOUBT && enough(&rest) {
-            pi = pi.min(Self::pi(rng, &old, &rest, handicap));
-        }
-        Doubt { pi, enough: true, outcomes: new.count }
+        let rest = pool(arms, trial, worst);
+        let alone = pi <= DOUBT || rest.count < LEAST_OUTCOMES;
+        if alone { pi } else { pi.min(Self::pi(rng, &old, &rest, handicap)) }
     }
 
-    /// Judges the build on trial every so often and says what was decided.
+    /// Judges the build on trial, or just released, every so often, and votes.
     fn judge(
         &mut self,
         rng: &mut Pcg64Mcg,
-        servers: &mut Servers,
-        trial: &[usize],
-        earlier: &[usize],
+        s: &mut Servers,
+        (trial, earlier): (&[usize], &[usize]),
         news: Option<&StageNews>,
+        (dead, surge): (bool, bool),
         now: Ms,
         out: &mut Vec<Action>,
     ) {
-        if now - self.judged < JUDGE_EVERY {
+        let since = now - self.judged;
+        if since < JUDGE_EVERY {
             return;
         }
-        let fade = 0.5f64.powf((now - self.judged).min(FADE_HALF) / FADE_HALF);
         self.judged = now;
-        servers.score.iter_mut().chain(servers.pace.iter_mut()).for_each(|arm| arm.fade(fade));
-        let build = trial.first().map(|i| servers.build[*i]);
+        let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
+        s.score.iter_mut().chain(s.pace.iter_mut()).for_each(|arm| arm.fade(half(FADE_HALF)));
+        self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
+        let build = trial.first().map(|i| s.build[*i]);
         if build != self.trial {
             // Both arms start together, so that an earlier trouble or calm counts for neither.
             self.trial = build;
-            self.sure_since = None;
-            servers.score.iter_mut().chain(servers.pace.iter_mut()).for_each(|arm| *arm = Arm::default());
+            (self.sure_since, self.rehearsed) = (None, None);
+            s.score.iter_mut().chain(s.pace.iter_mut()).for_each(|arm| *arm = Arm::default());
+        }
+        let newest = trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
+        let answering = |side: &[usize]| -> Vec<usize> {
+            side.iter().copied().filter(|i| now - s.last_answer[*i] < DEAD_AFTER).collect()
+        };
+        let (trial, earlier) = (answering(trial), answering(earlier));
+        self.alone = earlier.is_empty();
+        let was_unwell = self.unwell;
+        self.unwell = self.now[0].count >= LEAST_OUTCOMES
+            && (self.now[0].mean < self.before.mean - UNWELL_SCORE || self.now[1].mean < -UNWELL_PACE);
+        if self.unwell && !was_unwell {
+            self.turns = Default::default();
         }
         let Some(news) = news else { return };
-        if build == Some(news.build) && matches!(news.phase, Phase::OnTrial) {
-            let by_score = Self::doubt_by(rng, &servers.score, trial, earlier, 0.0);
-            let by_pace = Self::doubt_by(rng, &servers.pace, trial, earlier, PACE_MARGIN);
-            self.doubt = if by_pace.pi > by_score.pi { by_pace } else { by_score };
-            self.doubt.enough = by_score.enough;
-            let sure = self.doubt.enough && self.doubt.pi > 1.0 - self.delta;
-            self.sure_since = if sure { self.sure_since.or(Some(now)) } else { None };
-            let sure_for = if trial.len() > 1 { SURE_FOR } else { SOLO_SURE_FOR };
-            if self.condemned != build && self.sure_since.is_some_and(|since| now - since >= sure_for) {
-                self.condemned = build;
-                out.push(Action::Log(format!(
-                    "build {} back at stage {}: pi {:.3} by {}, {:.0} outcomes on {} instances",
-                    news.build,
-                    news.stage,
-                    self.doubt.pi,
-                    if by_pace.pi > by_score.pi { "pace" } else { "score" },
-                    self.doubt.outcomes,
-                    trial.len()
-                )));
+        if news.phase == Phase::Released {
+            let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
+            self.released = Some((news.build, at)).filter(|_| now - at < WATCH);
+        } else {
+            self.released = None;
+        }
+        let on_trial = build == Some(news.build) && news.phase == Phase::OnTrial;
+        let (mut pi, mut why) = (0.5, "");
+        self.enough = false;
+        if on_trial && !self.alone {
+            let count = |side: &[usize]| pool(&s.score, side, None).count;
+            self.outcomes = count(&trial);
+            self.enough = self.outcomes.min(count(&earlier)) >= LEAST_OUTCOMES;
+            for (by, its) in [
+                (Self::pi_by(rng, &s.score, &trial, &earlier, 0.0), "score"),
+                (Self::pi_by(rng, &s.pace, &trial, &earlier, PACE_MARGIN), "pace"),
+                (Self::pi(rng, &self.turns[1], &self.turns[0], STEP_MARGIN), "all slow in step"),
+            ] {
+                (pi, why) = if by > pi { (by, its) } else { (pi, why) };
             }
-        }
-        let newest = trial.iter().map(|i| servers.since[*i]).fold(0.0, f64::max);
-        let verdict = self.verdict(news, now - newest, trial.is_empty());
+        } else if (on_trial || self.released.is_some()) && !dead && !surge {
+            // Nobody left to compare with: the time before the trial has to do, with a wide handicap.
+            self.outcomes = self.now[0].count;
+            self.enough = on_trial && self.outcomes >= LEAST_OUTCOMES;
+            (pi, why) = (Self::pi(rng, &self.before, &self.now[0], COLLAPSE), "collapse since the trial");
+        }
+        self.pi = pi;
+        let sure = pi > 1.0 - self.delta;
+        self.sure_since = if sure { self.sure_since.or(Some(now)) } else { None };
+        let hard = trial.len() < 2 || dead;
+        let sure_for = if self.alone || !on_trial {
+            GONE_SURE_FOR
+        } else if hard {
+            SOLO_SURE_FOR
+        } else {
+            SURE_FOR
+        };
+        if self.condemned != Some(news.build) && self.sure_since.is_some_and(|since| now - since >= sure_for)
+        {
+            self.condemned = Some(news.build);
+            let (build, stage, n, on) = (news.build, news.stage, self.outcomes, trial.len());
+            out.push(Action::Log(format!(
+                "build {build} found bad at stage {stage}: pi {pi:.3} by {why}, {n:.0} outcomes, {on} on trial"
+            )));
+        }
+        let verdict = self.verdict(news, now - newest, trial.is_empty(), now);
         self.cast(news, verdict, now, out);
     }
 
-    fn verdict(&self, news: &StageNews, since_start: Ms, nobody: bool) -> Verdict {
+    fn verdict(&mut self, news: &StageNews, since_start: Ms, nobody: bool, now: Ms) -> Verdict {
+        let on_trial = news.phase == Phase::OnTrial;
         if self.condemned == Some(news.build) {
-            let over = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
-            return if over { Verdict::None } else { Verdict::Back };
+            let stands = on_trial || news.phase == Phase::Released;
+            return if stands { Verdict::Back } else { Verdict::None };
         }
-        if news.phase != Phase::OnTrial || nobody || self.trial != Some(news.build) {
+        if !on_trial || nobody || self.trial != Some(news.build) {
             return Verdict::None;
         }
         if self.terms.mode == VoteMode::Clocked {
-            let doubtful = self.doubt.enough && self.doubt.pi > DOUBT;
-            return if doubtful { Verdict::Hold } else { Verdict::None };
-        }
-        let heard = self.doubt.enough || since_start >= FEW_PATIENCE;
-        let fit = heard && since_start >= SETTLE && self.doubt.pi <= DOUBT;
-        if fit { Verdict::On } else { Verdict::None }
+            return if self.enough && self.pi > DOUBT { Verdict::Hold } else { Verdict::None };
+        }
+        let fit = since_start >= SETTLE && self.pi <= DOUBT && !self.unwell;
+        // Nothing is capped any more and the earlier ones still stand by: the trial carries nearly all first.
+        let rehearses = fit && self.enough && news.cap >= 1.0 && !self.alone;
+        self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
+        let heard = match self.rehearsed {
+            Some(since) => now - since >= REHEARSAL,
+            None => self.enough || since_start >= FEW_PATIENCE * if news.cap >= 1.0 { 3.0 } else { 1.0 },
+        };
+        if fit && heard { Verdict::On } else { Verdict::None }
     }
 
     /// Casts, renews, repeats or takes back the one vote of this gateway.
@@ -351,7 +369,7 @@
         };
         if due {
             if last != Some(wanted) {
-                let (build, stage, pi, n) = (news.build, news.stage, self.doubt.pi, self.doubt.outcomes);
+                let (build, stage, pi, n) = (news.build, news.stage, self.pi, self.outcomes);
                 out.push(Action::Log(format!(
                     "vote {verdict:?} on build {build} stage {stage}: pi {pi:.3}, {n:.0} outcomes"
                 )));
@@ -364,7 +382,15 @@
     }
 }
 
+/// The arms of several instances as one.
+fn pool(arms: &[Arm], members: &[usize], left_out: Option<usize>) -> Arm {
+    let mut sum = Arm::default();
+    members.iter().filter(|i| Some(**i) != left_out).for_each(|i| sum.merge(&arms[*i]));
+    sum
+}
+
 /// The list of instances and how each one does.
+#[derive(Default)]
 struct Fleet {
     terms: ListTerms,
     cold: ColdStart,
@@ -373,8 +399,11 @@
     asked: Option<Ms>,
     ask_at: Option<Ms>,
     /// Txns that came in, and their usual rate per warm instance and ms.
-    arrivals: VecDeque<Ms>,
+    arrivals: Times,
     usual: f64,
+    /// Txns per ms and unit of capacity that a cold instance may be measured by.
+    rate: f64,
+    surge: bool,
 }
 
 impl Fleet {
@@ -396,7 +425,7 @@
             let s = &mut self.servers;
             // An id may return with another build or after a restart: nothing learnt of it counts.
             if s.build[i] != entry.build || entry.since > s.since[i] + 1.0 {
-                fresh(s, i, entry.since > 0.0);
+                s.begin_life(i, first_cap(entry));
             }
             s.build[i] = entry.build;
             s.since[i] = s.since[i].max(entry.since);
@@ -411,28 +440,9 @@
         if let Some(i) = self.index.get(&entry.instance) {
             return *i;
         }
-        let s = &mut self.servers;
-        let i = s.id.len();
+        let i = self.servers.add(entry);
         self.index.insert(entry.instance.clone(), i);
-        s.id.push(entry.instance.clone());
-        s.zone.push(entry.zone.clone());
-        s.cell.push(entry.cell);
-        s.build.push(entry.build);
-        s.weight.push(1.0);
-        s.since.push(entry.since);
-        s.ready.push(false);
-        s.life.push(0);
-        s.in_flight.push(0);
-        s.in_flight_cap.push(KNOWN_CAP);
-        s.last_answer.push(0.0);
-        s.last_cut.push(0.0);
-        s.errors.push(0.0);
-        s.aside_until.push(0.0);
-        s.aside_times.push(0);
-        s.score.push(Arm::default());
-        s.pace.push(Arm::default());
-        s.sends.push(VecDeque::new());
-        fresh(s, i, entry.since > 0.0);
+        self.servers.begin_life(i, first_cap(entry));
         i
     }
 
@@ -461,8 +471,8 @@
         self.ready().map(|i| self.servers.build[i]).min().unwrap_or(0)
     }
 
-    /// This gateway's txns per ms and unit of capacity: uneven traffic scales its part by itself.
-    fn rate(&mut self, now: Ms) -> f64 {
+    /// Takes this gateway's txns per ms and unit of capacity: uneven traffic scales its part by itself.
+    fn take_rate(&mut self, now: Ms) {
         let (mut capacity, mut warm, mut all) = (0.0, 0.0, 0.0);
         for i in self.ready() {
             let warmth = self.warmth(i, now);
@@ -470,19 +480,27 @@
             warm += f64::from(u8::from(warmth >= 1.0));
             all += 1.0;
         }
-        forget_before(&mut self.arrivals, now - RATE_SPAN);
-        let rate = self.arrivals.len() as f64 / RATE_SPAN / f64::max(capacity, 1.0);
+        let rate = self.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN / f64::max(capacity, 1.0);
+        self.surge = self.usual > 0.0 && rate > SURGE * self.usual;
+        self.rate = if self.usual > 0.0 { rate.min(RATE_SURGE * self.usual) } else { rate };
         if warm >= MOSTLY_WARM * all {
-            self.usual += NEWEST * (rate - self.usual);
+            self.usual += NEWEST * TICK / JUDGE_EVERY * (rate - self.usual);
         }
-        if self.usual > 0.0 { rate.min(RATE_SURGE * self.usual) } else { rate }
+    }
+
+    /// Many instances are dead, not slow: whatever suffers now, machines are the likelier cause.
+    fn many_dead(&self, now: Ms) -> bool {
+        let s = &self.servers;
+        let dead = |i: &usize| s.aside_until[*i] > now && s.last_answer[*i] < now - DEAD_AFTER;
+        let all = self.ready().count();
+        self.ready().filter(dead).count() as f64 > DEAD_SHARE * all as f64
     }
 
     /// The budget of a cold instance: its part of this gateway's own rate, and hardly any burst.
-    fn cold_room(&self, i: usize, rate: f64, now: Ms) -> bool {
+    fn cold_room(&self, i: usize, now: Ms) -> bool {
         let warmth = self.warmth(i, now);
-        let sent = count_since(&self.servers.sends[i], now - self.cold.span);
-        warmth >= 1.0 || (sent + 1) as f64 <= COLD_BURST + rate * warmth * self.cold.span
+        let sent = self.servers.sends[i].since(now - self.cold.span);
+        warmth >= 1.0 || (sent + 1) as f64 <= COLD_BURST + self.rate * warmth * self.cold.span
     }
 
     fn leave_aside(&mut self, i: usize, why: &str, now: Ms, out: &mut Vec<Action>) {
@@ -498,43 +516,29 @@
         }
     }
 
-    /// What one ending tells of the instance.
-    fn learn(
-        &mut self,
-        sub: &Submission,
-        ending: Ending,
-        took: Ms,
-        slow: bool,
-        now: Ms,
-        out: &mut Vec<Action>,
-    ) {
-        let i = sub.server;
+    /// What one ending tells of the instance; `queue`: its time against what is wanted.
+    fn learn(&mut self, i: usize, ending: Ending, queue: f64, now: Ms, out: &mut Vec<Action>) {
+        let s = &mut self.servers;
         let error = ending == Ending::Error;
         if error || ending == Ending::Settled {
-            let s = &mut self.servers;
             s.last_answer[i] = now;
             s.errors[i] += NEWEST * (f64::from(u8::from(error)) - s.errors[i]);
         }
         match ending {
-            Ending::Settled if !slow => {
-                let s = &mut self.servers;
-                s.aside_times[i] = 0;
-                if f64::from(s.in_flight[i]) + 1.0 >= s.in_flight_cap[i] / 2.0 {
-                    let cap = s.in_flight_cap[i];
-                    let step = if cap < KNOWN_CAP { 1.0 } else { 1.0 / cap };
-                    s.in_flight_cap[i] = (cap + step).min(MOST_CAP);
-                }
-            }
+            // Answers in good time open the instance further, late ones and refusals close it.
             Ending::Settled | Ending::TurnedAway | Ending::NoAnswer => {
-                let s = &mut self.servers;
-                if now - s.last_cut[i] > took.max(100.0) {
-                    s.last_cut[i] = now;
-                    s.in_flight_cap[i] = (s.in_flight_cap[i] * CAP_CUT).max(1.0);
+                let settled = ending == Ending::Settled;
+                let step = CAP_GAIN * (1.0 - if settled { queue.min(HEAVY) } else { HEAVY });
+                if settled {
+                    s.aside_times[i] = 0;
+                }
+                if step < 0.0 || f64::from(s.in_flight[i] + 1) >= s.in_flight_cap[i] / 2.0 {
+                    s.in_flight_cap[i] = (s.in_flight_cap[i] + step).clamp(1.0, MOST_CAP);
                 }
             }
             Ending::NoConnection => self.leave_aside(i, "no connection", now, out),
             Ending::ConnectionLost => self.leave_aside(i, "connection lost", now, out),
-            Ending::Error if self.servers.errors[i] > SICK_ERRORS => {
+            Ending::Error if s.errors[i] > SICK_ERRORS => {
                 let s = &self.servers;
                 let others = self.ready().filter(|o| *o != i && s.build[*o] == s.build[i]);
                 let (sum, count) =
@@ -548,21 +552,14 @@
     }
 }
 
-fn fresh(s: &mut Servers, i: usize, cold: bool) {
-    s.life[i] += 1;
-    s.in_flight[i] = 0;
-    s.in_flight_cap[i] = if cold { FRESH_CAP } else { KNOWN_CAP };
-    s.errors[i] = 0.0;
-    s.aside_until[i] = 0.0;
-    s.aside_times[i] = 0;
-    s.score[i] = Arm::default();
-    s.pace[i] = Arm::default();
-    s.sends[i].clear();
+/// A fresh instance gets little at once; the cap grows with its answers.
+fn first_cap(entry: &Listing) -> f64 {
+    if entry.since > 0.0 { FRESH_CAP } else { KNOWN_CAP }
 }
 
 /// The decisions of one gateway.
 pub struct Choice {
-    place: Place,
+    zone: String,
     products: Vec<Product>,
     tenants: Vec<Tenant>,
     permits: Permits,
@@ -582,7 +579,6 @@
     /// This gateway's part of all traffic.
     part: f64,
     tallied: f64,
-    rate: f64,
     ticking: bool,
     out: Vec<Action>,
 }
@@ -605,42 +601,21 @@
         let count = products.len();
         // One vote of many that each look often: the chance of a wrong one is shared.
         let peeking = f64::from(place.gateways) / f64::from(votes.to_revert.max(1));
+        let delta = DELTA / peeking.max(1.0);
+        let ask_at = list.asked.then_some(0.0);
         Choice {
-            fleet: Fleet {
-                ask_at: list.asked.then_some(0.0),
-                terms: list,
-                cold,
-                servers: Servers::default(),
-                index: BTreeMap::new(),
-                asked: None,
-                arrivals: VecDeque::new(),
-                usual: 0.0,
-            },
+            fleet: Fleet { ask_at, terms: list, cold, ..Fleet::default() },
             exposure: Exposure {
                 terms: exposure,
-                news: None,
-                arrivals: vec![VecDeque::new(); count],
-                sends: BTreeMap::new(),
-                bound: BTreeMap::new(),
-            },
-            judge: Judge {
-                terms: votes,
-                delta: DELTA / peeking.max(1.0),
-                judged: 0.0,
-                doubt: Doubt::default(),
-                sure_since: None,
-                trial: None,
-                condemned: None,
-                vote: None,
-                voted: 0.0,
-                stands: false,
-                base: vec![Arm::default(); count],
+                arrivals: vec![Times::default(); count],
+                ..Exposure::default()
             },
+            judge: Judge { terms: votes, delta, base: vec![Arm::default(); count], ..Judge::default() },
             typical: products.iter().map(|product| product.sla / 4.0).collect(),
             shares: tenants.iter().map(|tenant| (tenant.quota_per_s, 0.0)).collect(),
             part: 1.0 / f64::from(place.gateways.max(1)),
             rng: Pcg64Mcg::seed_from_u64(seed),
-            place,
+            zone: place.zone,
             products,
             tenants,
             permits,
@@ -650,7 +625,6 @@
             waiting: Vec::new(),
             resends: RESEND_SAVED,
             tallied: 0.0,
-            rate: 0.0,
             ticking: false,
             out: Vec::new(),
         }
@@ -684,7 +658,7 @@
                     return;
                 };
                 let tenant = tenant.and_then(|name| self.tenants.iter().position(|known| known.name == name));
-                self.fleet.arrivals.push_back(now);
+                self.fleet.arrivals.note(now, 2.0 * RATE_SPAN);
                 self.exposure.note_arrival(product, now);
                 self.resends = (self.resends + RESEND_SHARE).min(RESEND_SAVED);
                 let terms = &self.products[product];
@@ -753,7 +727,7 @@
     fn settle_tallies(&mut self, now: Ms) {
         if self.tallied > 0.0 && self.evidence.tally > 0.0 && self.evidence.tally_share > 0.0 {
             let all = self.tallied / self.evidence.tally_share / self.evidence.tally;
-            let mine = count_since(&self.fleet.arrivals, now - RATE_SPAN) as f64 / RATE_SPAN;
+            let mine = self.fleet.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN;
             self.part += 2.0 * NEWEST * ((mine / all).min(1.0) - self.part);
         }
         self.tallied = 0.0;
@@ -772,9 +746,8 @@
             servers.in_flight[sub.server] = servers.in_flight[sub.server].saturating_sub(1);
             let sla = product.sla + product.sla_stretch * txn.work.unwrap_or(0.0);
             self.judge.learn(servers, &sub, txn, ending, took, sla);
-            let slow =
-                took * sub.warmth > LATE_SHARE * product.sla && txn.work.is_none_or(|work| took > 3.0 * work);
-            self.fleet.learn(&sub, ending, took, slow, now, &mut self.out);
+            let wanted = (QUEUE_SHARE * product.sla).max(2.0 * txn.work.unwrap_or(0.0));
+            self.fleet.learn(sub.server, ending, took * sub.warmth / wanted, now, &mut self.out);
         }
         if ending == Ending::Settled {
             let typical = &mut self.typical[txn.product];
@@ -826,7 +799,7 @@
             && alone
             && repeatable
             && s.ready[i]
-            && self.fleet.cold_room(i, self.rate, now)
+            && self.fleet.cold_room(i, now)
             && self.exposure.admits(txn, product.effect, s.build[i], self.fleet.lowest_build(), now)
     }
 
@@ -850,8 +823,7 @@
         };
         s.in_flight[i] += 1;
         if warmth < 1.0 {
-            forget_before(&mut s.sends[i], now - 2.0 * self.fleet.cold.span);
-            s.sends[i].push_back(now);
+            s.sends[i].note(now, 2.0 * self.fleet.cold.span);
         }
         let (build, product) = (sub.build, txn.product);
         self.out.push(Action::Submit { id, instance: s.id[i].clone(), limit: None });
@@ -917,7 +889,7 @@
             return None;
         }
         let load = |i: usize| {
-            let away = self.costs.cross_zone > 0.0 && s.zone[i] != self.place.zone;
+            let away = self.costs.cross_zone > 0.0 && s.zone[i] != self.zone;
             let bias = if away { CROSS_BIAS } else { 0.0 };
             (f64::from(s.in_flight[i]) + bias) / (s.weight[i] * self.fleet.warmth(i, now))
         };
@@ -934,10 +906,12 @@
             side.iter().map(|i| f64::from(s.in_flight[*i])).sum::<f64>() / side.len().max(1) as f64
         };
         let share = trial.len() as f64 / (trial.len() + earlier.len()).max(1) as f64;
-        let going = self.exposure.news.as_ref().is_none_or(|news| news.phase != Phase::GoingBack);
+        let going = self.exposure.news.as_ref().is_none_or(|news| news.phase != Phase::GoingBack)
+            && !self.judge.withholds(now);
         let parity = earlier.is_empty() || per_server(trial) <= per_server(earlier);
-        let coin = self.rng.random::<f64>() < share.max(0.5);
-        let trial_first = earlier.is_empty() || (going && coin && parity);
+        let coin = self.rng.random::<f64>();
+        let rehearses = self.judge.rehearsed.is_some() && coin < REHEARSED;
+        let trial_first = earlier.is_empty() || (going && (rehearses || coin < share.max(0.5) && parity));
         // Released: the newest build of the earlier ones serves, the others are on their way out.
         let newest = earlier.iter().map(|i| s.build[*i]).max().unwrap_or(0);
         let newest: Vec<usize> = earlier.iter().copied().filter(|i| s.build[*i] == newest).collect();
@@ -950,12 +924,12 @@
         false
     }
 
-    /// Sends what waits, the best paid first, and gives up at once what can no longer be in time.
+    /// Sends what waits, the best paid and the newest first, for a queue served in order makes all of it late;
+    /// gives up at once what can no longer be in time.
     fn serve_waiting(&mut self, now: Ms) {
         if self.waiting.is_empty() {
             return;
         }
-        self.rate = self.fleet.rate(now);
         let sides = self.sides();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|id| self.txns.get(id).is_some_and(|txn| !txn.answered));
@@ -965,7 +939,7 @@
         };
         let came = |id: &TxnId| self.txns[id].came;
         waiting
-            .sort_by(|a, b| value(b).total_cmp(&value(a)).then(came(a).total_cmp(&came(b))).then(a.cmp(b)));
+            .sort_by(|a, b| value(b).total_cmp(&value(a)).then(came(b).total_cmp(&came(a))).then(a.cmp(b)));
         for id in waiting {
             if self.place(id, &sides, now) {
                 continue;
@@ -983,6 +957,7 @@
     /// Every tick: the list, silent instances, txns near their expiry, and the judge.
     fn look_round(&mut self, now: Ms) {
         self.fleet.ask(now, &mut self.out);
+        self.fleet.take_rate(now);
         let mut stuck = Vec::new();
         let mut over = Vec::new();
         let mut silent: BTreeMap<usize, u32> = BTreeMap::new();
@@ -992,8 +967,10 @@
                 let s = &self.fleet.servers;
                 let same = s.life[sub.server] == sub.life;
                 let quiet = !same || s.last_answer[sub.server] < sub.sent;
-                if quiet && now - sub.sent > PATIENCE * sla {
-                    if same {
+                let usual = self.typical[txn.product].max(txn.work.unwrap_or(0.0));
+                let age = now - sub.sent;
+                if quiet && age > (PATIENCE * sla).max(HEAVY * usual).min(sla) {
+                    if same && age >= sla {
                         *silent.entry(sub.server).or_default() += 1;
                     }
                     if !txn.answered && txn.outstanding() == 1 {
@@ -1014,8 +991,10 @@
         }
         let (trial, earlier) = self.sides();
         let news = self.exposure.news.as_ref();
+        let trouble = (self.fleet.many_dead(now), self.fleet.surge);
         let servers = &mut self.fleet.servers;
-        self.judge.judge(&mut self.rng, servers, &trial, &earlier, news, now, &mut self.out);
+        let sides = (trial.as_slice(), earlier.as_slice());
+        self.judge.judge(&mut self.rng, servers, sides, news, trouble, now, &mut self.out);
     }
 
     /// A txn stuck at a silent instance: a second copy where permitted, else recalled to be sent again.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! Plain records that the decisions keep; no decisions here.
 
-use crate::api::{Build, Ending, Ms};
+use crate::api::{Build, Ending, Listing, Ms};
+use std::collections::VecDeque;
 
 /// One submission of a txn.
 #[derive(Clone, Debug)]
@@ -84,6 +85,25 @@
     }
 }
 
+/// Moments, oldest first.
+#[derive(Clone, Debug, Default)]
+pub struct Times(VecDeque<Ms>);
+
+impl Times {
+    /// Notes a moment and forgets those more than `keep` before it.
+    pub fn note(&mut self, now: Ms, keep: Ms) {
+        while self.0.front().is_some_and(|time| *time < now - keep) {
+            self.0.pop_front();
+        }
+        self.0.push_back(now);
+    }
+
+    /// How many there were after a moment.
+    pub fn since(&self, moment: Ms) -> usize {
+        self.0.len() - self.0.partition_point(|time| *time <= moment)
+    }
+}
+
 /// Figures on instances, in parallel arrays under one dense index.
 #[derive(Clone, Debug, Default)]
 pub struct Servers {
@@ -94,15 +114,52 @@
     pub weight: Vec<f64>,
     pub since: Vec<Ms>,
     pub ready: Vec<bool>,
+    /// Counts the lives of an index: ids return with other builds and after restarts.
     pub life: Vec<u32>,
     pub in_flight: Vec<u32>,
     pub in_flight_cap: Vec<f64>,
     pub last_answer: Vec<Ms>,
-    pub last_cut: Vec<Ms>,
     pub errors: Vec<f64>,
     pub aside_until: Vec<Ms>,
     pub aside_times: Vec<u32>,
     pub score: Vec<Arm>,
     pub pace: Vec<Arm>,
-    pub sends: Vec<std::collections::VecDeque<Ms>>,
+    pub sends: Vec<Times>,
+}
+
+impl Servers {
+    /// Makes room for one more instance and returns its index.
+    pub fn add(&mut self, entry: &Listing) -> usize {
+        self.id.push(entry.instance.clone());
+        self.zone.push(entry.zone.clone());
+        self.cell.push(entry.cell);
+        self.build.push(entry.build);
+        self.weight.push(1.0);
+        self.since.push(entry.since);
+        self.ready.push(false);
+        self.life.push(0);
+        self.in_flight.push(0);
+        self.in_flight_cap.push(0.0);
+        self.last_answer.push(0.0);
+        self.errors.push(0.0);
+        self.aside_until.push(0.0);
+        self.aside_times.push(0);
+        self.score.push(Arm::default());
+        self.pace.push(Arm::default());
+        self.sends.push(Times::default());
+        self.id.len() - 1
+    }
+
+    /// Forgets all that was learnt of an instance.
+    pub fn begin_life(&mut self, i: usize, in_flight_cap: f64) {
+        self.life[i] += 1;
+        self.in_flight[i] = 0;
+        self.in_flight_cap[i] = in_flight_cap;
+        self.errors[i] = 0.0;
+        self.aside_until[i] = 0.0;
+        self.aside_times[i] = 0;
+        self.score[i] = Arm::default();
+        self.pace[i] = Arm::default();
+        self.sends[i] = Times::default();
+    }
 }
