--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,7 @@
 const REHEARSAL: Ms = 2000.0; // ms that the trial carries nearly all before its release
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
 const SLOT: Ms = 1500.0; // ms of each turn, by the clock all gateways share, with or without the trial
+const TURN_OUTCOMES: f64 = 40.0; // outcomes in either kind of turn: a few turns' worth, for turns differ by themselves
 const SLOT_LEAD: f64 = 0.4; // share of a turn in which queues still tell of the turn before
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
 const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
@@ -276,8 +277,12 @@
         let (trial, earlier) = (answering(trial), answering(earlier));
         self.alone = earlier.is_empty();
         let was_unwell = self.unwell;
-        self.unwell = self.now[0].count >= LEAST_OUTCOMES
-            && (self.now[0].mean < self.before.mean - UNWELL_SCORE || self.now[1].mean < -UNWELL_PACE);
+        // Lower than before by more than chance: two standard errors on top of the margin.
+        let below = |arm: &Arm, least: f64| {
+            arm.count >= LEAST_OUTCOMES && arm.mean + 2.0 * arm.squares.sqrt() / arm.count < least
+        };
+        self.unwell = !dead
+            && (below(&self.now[0], self.before.mean - UNWELL_SCORE) || below(&self.now[1], -UNWELL_PACE));
         if self.unwell && !was_unwell {
             self.turns = Default::default();
         }
@@ -291,14 +296,23 @@
         let on_trial = build == Some(news.build) && news.phase == Phase::OnTrial;
         let (mut pi, mut why) = (0.5, "");
         self.enough = false;
-        if on_trial && !self.alone {
+        if on_trial && self.rehearsed.is_some() {
+            // The trial carries nearly all and the earlier ones idle: only the time before had a like load.
+            let trial = pool(&s.score, &trial, None);
+            (self.outcomes, self.enough) = (trial.count, true);
+            (pi, why) = (Self::pi(rng, &self.before, &trial, COLLAPSE / 2.0), "rehearsal");
+        } else if on_trial && !self.alone {
             let count = |side: &[usize]| pool(&s.score, side, None).count;
             self.outcomes = count(&trial);
             self.enough = self.outcomes.min(count(&earlier)) >= LEAST_OUTCOMES;
+            let stepped = self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES);
             for (by, its) in [
                 (Self::pi_by(rng, &s.score, &trial, &earlier, 0.0), "score"),
                 (Self::pi_by(rng, &s.pace, &trial, &earlier, PACE_MARGIN), "pace"),
-                (Self::pi(rng, &self.turns[1], &self.turns[0], STEP_MARGIN), "all slow in step"),
+                (
+                    if stepped { Self::pi(rng, &self.turns[1], &self.turns[0], STEP_MARGIN) } else { 0.5 },
+                    "all slow in step",
+                ),
             ] {
                 (pi, why) = if by > pi { (by, its) } else { (pi, why) };
             }
@@ -345,7 +359,8 @@
         }
         let fit = since_start >= SETTLE && self.pi <= DOUBT && !self.unwell;
         // Nothing is capped any more and the earlier ones still stand by: the trial carries nearly all first.
-        let rehearses = fit && self.enough && news.cap >= 1.0 && !self.alone;
+        let rehearses =
+            self.pi <= DOUBT && self.enough && news.cap >= 1.0 && !self.alone && since_start >= SETTLE;
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
         let heard = match self.rehearsed {
             Some(since) => now - since >= REHEARSAL,
