--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,7 +29,7 @@
 const UNWELL_PACE: f64 = 0.26; // log of 1.3: the whole fleet is slower than before the trial
 const STEP_MARGIN: f64 = 0.1; // log of 1.1: earlier instances are quicker while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
-const COLLAPSE: f64 = 0.3; // the same that no good build costs, however loaded
+const COLLAPSE: f64 = 0.2; // the same that no good build costs, however loaded
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
 const REHEARSAL: Ms = 2000.0; // ms that the trial carries nearly all before its release
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
@@ -296,12 +296,8 @@
         let on_trial = build == Some(news.build) && news.phase == Phase::OnTrial;
         let (mut pi, mut why) = (0.5, "");
         self.enough = false;
-        if on_trial && self.rehearsed.is_some() {
-            // The trial carries nearly all and the earlier ones idle: only the time before had a like load.
-            let trial = pool(&s.score, &trial, None);
-            (self.outcomes, self.enough) = (trial.count, true);
-            (pi, why) = (Self::pi(rng, &self.before, &trial, COLLAPSE / 2.0), "rehearsal");
-        } else if on_trial && !self.alone {
+        let full = on_trial && (news.cap >= 1.0 || self.alone);
+        if on_trial && !full {
             let count = |side: &[usize]| pool(&s.score, side, None).count;
             self.outcomes = count(&trial);
             self.enough = self.outcomes.min(count(&earlier)) >= LEAST_OUTCOMES;
@@ -316,11 +312,12 @@
             ] {
                 (pi, why) = if by > pi { (by, its) } else { (pi, why) };
             }
-        } else if (on_trial || self.released.is_some()) && !dead && !surge {
-            // Nobody left to compare with: the time before the trial has to do, with a wide handicap.
-            self.outcomes = self.now[0].count;
+        } else if (full || self.released.is_some()) && !dead && !surge {
+            // The build carries nearly all: only the time before had a like load, and a wide handicap is due.
+            let now = if on_trial { pool(&s.score, &trial, None) } else { self.now[0] };
+            self.outcomes = now.count;
             self.enough = on_trial && self.outcomes >= LEAST_OUTCOMES;
-            (pi, why) = (Self::pi(rng, &self.before, &self.now[0], COLLAPSE), "collapse since the trial");
+            (pi, why) = (Self::pi(rng, &self.before, &now, COLLAPSE), "collapse since the time before");
         }
         self.pi = pi;
         let sure = pi > 1.0 - self.delta;
