--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,7 +25,9 @@
 const FEW_PATIENCE: Ms = 4000.0; // ms after that start when too few outcomes no longer keep a trial waiting
 const FADE_HALF: Ms = 4000.0; // ms in which an outcome's weight halves: long for power, short for late harm
 const NOW_HALF: Ms = 1500.0; // ms the same for how the whole fleet does now
-const PACE_MARGIN: f64 = 0.26; // log of 1.3: good builds differ by less in time per work
+const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
+const RIGHT_MARGIN: f64 = 0.005; // share of answers that may be flagged by mistake
+const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
 const UNWELL_PACE: f64 = 0.26; // log of 1.3: the whole fleet is slower than before the trial
 const STEP_MARGIN: f64 = 0.1; // log of 1.1: earlier instances are quicker while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
@@ -39,6 +41,8 @@
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
 const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
 const SURGE: f64 = 1.4; // times the usual rate above which trouble is the clients'
+const BASE_FADE: f64 = 0.995; // weight kept per outcome of the time before: some hundreds count
+const FULL_PATIENCE: f64 = 3.0; // times as patient at full cap: the last step before the release
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
 const FRESH_CAP: f64 = 2.0; // in flight at a fresh instance: one running, one to follow
 const KNOWN_CAP: f64 = 4.0; // in flight at an instance met long started
@@ -84,18 +88,15 @@
             // Without news the newest builds are taken as unannounced: the first stage's cap.
             None => (build > lowest).then_some((self.terms.caps[0], 0)),
             Some(news) if build > news.build => Some((self.terms.caps[0], 0)),
-            Some(news) if build == news.build && news.phase != Phase::Released => {
-                Some((news.cap, news.stage))
+            Some(news) => {
+                (build == news.build && news.phase != Phase::Released).then_some((news.cap, news.stage))
             }
-            Some(_) => None,
         }
     }
 
     fn admits(&self, txn: &Txn, effect: Effect, build: Build, lowest: Build, now: Ms) -> bool {
-        if let Some(bound) = txn.key.as_ref().and_then(|key| self.bound.get(key)) {
-            if build < *bound {
-                return false;
-            }
+        if txn.key.as_ref().and_then(|key| self.bound.get(key)).is_some_and(|bound| build < *bound) {
+            return false;
         }
         let Some((cap, stage)) = self.on_trial(build, lowest) else { return true };
         if cap <= 0.0 || (stage < self.terms.closed_stages && effect != Effect::InquiryLike) {
@@ -108,16 +109,6 @@
         (sent + 1) as f64 <= self.terms.free + cap * came as f64
     }
 
-    fn note_send(&mut self, product: usize, build: Build, now: Ms) {
-        let lane = self.lane(product);
-        self.sends.entry((build, lane)).or_default().note(now, 2.0 * self.terms.window);
-    }
-
-    fn note_arrival(&mut self, product: usize, now: Ms) {
-        let lane = self.lane(product);
-        self.arrivals[lane].note(now, 2.0 * self.terms.window);
-    }
-
     /// A key that the new build has answered goes to no earlier one while the new one stands.
     fn note_answer(&mut self, key: &Option<String>, build: Build) {
         let stands = |news: &StageNews| matches!(news.phase, Phase::OnTrial | Phase::Released);
@@ -137,13 +128,22 @@
     }
 }
 
+/// What the gateway sees of its fleet when it judges.
+struct Sight {
+    trial: Vec<usize>,
+    earlier: Vec<usize>,
+    /// Many instances are dead, or clients send far more than usual: slowness then is not the build's.
+    dead: bool,
+    surge: bool,
+}
+
 /// Judges builds and votes.
 #[derive(Default)]
 struct Judge {
     terms: VoteTerms,
     delta: f64,
     judged: Ms,
-    /// The larger π of the earlier build, and the trial's outcomes behind it.
+    /// The largest π against the trial, and the trial's outcomes behind it.
     pi: f64,
     outcomes: f64,
     enough: bool,
@@ -159,12 +159,16 @@
     /// Mean log pace per product, and share in time, while no build was on trial.
     base: Vec<Arm>,
     before: Arm,
-    /// Score and pace of the instances that are not on trial, just now.
+    /// Score and pace just now of the instances that are not on trial.
     now: [Arm; 2],
     unwell: bool,
+    /// No earlier instance answers any more.
     alone: bool,
     /// Pace of the earlier instances in turns with and without traffic on trial.
     turns: [Arm; 2],
+    /// The build last on trial; answers not flagged of the others and of it.
+    watched: Option<Build>,
+    right: [Arm; 2],
 }
 
 impl Judge {
@@ -184,35 +188,44 @@
         let learn_base = |arm: &mut Arm, value: f64| {
             if calm || arm.count < LEAST_OUTCOMES {
                 arm.add(value);
-                arm.fade(0.995);
+                arm.fade(BASE_FADE);
             }
         };
         learn_base(&mut self.before, score);
-        let on_trial = self.trial == Some(sub.build);
-        if !on_trial || self.alone {
+        let earlier = self.trial != Some(sub.build);
+        if earlier || self.alone {
             self.now[0].add(score);
         }
-        if ending == Ending::Settled {
-            let pace = -(warm_time.max(0.1) / txn.work.map_or(1.0, |work| work.max(0.1))).ln();
-            learn_base(&mut self.base[txn.product], pace);
-            let pace = pace - self.base[txn.product].mean;
-            s.pace[i].add(pace);
-            if !on_trial || self.alone {
-                self.now[1].add(pace);
-            }
-            if self.unwell && !on_trial && (sub.sent / SLOT).fract() >= SLOT_LEAD {
-                self.turns[usize::from(Self::odd_turn(sub.sent))].add(pace);
-            }
+        if ending != Ending::Settled {
+            return;
+        }
+        self.right[usize::from(self.watched == Some(sub.build))].add(1.0);
+        let pace = -(warm_time.max(0.1) / txn.work.map_or(1.0, |work| work.max(0.1))).ln();
+        learn_base(&mut self.base[txn.product], pace);
+        let pace = pace - self.base[txn.product].mean;
+        s.pace[i].add(pace);
+        if earlier || self.alone {
+            self.now[1].add(pace);
+        }
+        if self.unwell && earlier && (sub.sent / SLOT).fract() >= SLOT_LEAD {
+            self.turns[usize::from(Self::spares(sub.sent))].add(pace);
         }
     }
 
-    fn odd_turn(now: Ms) -> bool {
+    /// A client found an answer wrong: its score becomes 0.
+    fn flag(&mut self, s: &mut Servers, i: usize) {
+        s.score[i].zero_one();
+        self.right[usize::from(self.watched == Some(s.build[i]))].zero_one();
+    }
+
+    /// Whether this is a turn that spares the trial.
+    fn spares(now: Ms) -> bool {
         (now / SLOT).rem_euclid(2.0) >= 1.0
     }
 
     /// While all instances are slow, every other turn spares the trial: if that helps, the build is the cause.
     fn withholds(&self, now: Ms) -> bool {
-        self.unwell && self.trial.is_some() && Self::odd_turn(now)
+        self.unwell && self.trial.is_some() && Self::spares(now)
     }
 
     /// The share of draws in which the first arm is best, even with a handicap.
@@ -220,8 +233,8 @@
         let posterior = |arm: &Arm| {
             let squares = arm.squares.max(SQUARES_FLOOR * arm.count);
             let spread = (squares / (arm.count * (arm.count - 2.0))).sqrt();
-            let enough = arm.count >= LEAST_OUTCOMES;
-            enough.then(|| StudentT::new(arm.count - 2.0).ok()).flatten().map(|t| (arm.mean, spread, t))
+            let t = StudentT::new(arm.count - 2.0).ok().filter(|_| arm.count >= LEAST_OUTCOMES);
+            t.map(|t| (arm.mean, spread, t))
         };
         let (Some(first), Some(second)) = (posterior(first), posterior(second)) else { return 0.5 };
         let mut wins = 0.0;
@@ -235,23 +248,39 @@
 
     /// π by one kind of arm; a single machine far worse than the rest of its build does not count.
     fn pi_by(rng: &mut Pcg64Mcg, arms: &[Arm], trial: &[usize], earlier: &[usize], handicap: f64) -> f64 {
-        let (old, new) = (pool(arms, earlier, None), pool(arms, trial, None));
+        let (old, new) = (Arm::pool(arms, earlier, None), Arm::pool(arms, trial, None));
         let pi = Self::pi(rng, &old, &new, handicap);
         let harm = |i: &usize| arms[*i].count * (new.mean - arms[*i].mean);
         let worst = trial.iter().copied().max_by(|a, b| harm(a).total_cmp(&harm(b)));
-        let rest = pool(arms, trial, worst);
+        let rest = Arm::pool(arms, trial, worst);
         let alone = pi <= DOUBT || rest.count < LEAST_OUTCOMES;
         if alone { pi } else { pi.min(Self::pi(rng, &old, &rest, handicap)) }
     }
 
+    /// Fades what is old, and begins both arms together when a build comes on trial, so that an earlier
+    /// trouble or calm counts for neither.
+    fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms) {
+        let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
+        s.score.iter_mut().chain(s.pace.iter_mut()).for_each(|arm| arm.fade(half(FADE_HALF)));
+        self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
+        if trial != self.trial {
+            self.trial = trial;
+            (self.sure_since, self.rehearsed) = (None, None);
+            s.score.iter_mut().chain(s.pace.iter_mut()).for_each(|arm| *arm = Arm::default());
+        }
+        if trial.is_some() && trial != self.watched {
+            self.watched = trial;
+            self.right[1] = Arm::default();
+        }
+    }
+
     /// Judges the build on trial, or just released, every so often, and votes.
     fn judge(
         &mut self,
         rng: &mut Pcg64Mcg,
         s: &mut Servers,
-        (trial, earlier): (&[usize], &[usize]),
+        mut sight: Sight,
         news: Option<&StageNews>,
-        (dead, surge): (bool, bool),
         now: Ms,
         out: &mut Vec<Action>,
     ) {
@@ -260,75 +289,54 @@
             return;
         }
         self.judged = now;
-        let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
-        s.score.iter_mut().chain(s.pace.iter_mut()).for_each(|arm| arm.fade(half(FADE_HALF)));
-        self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
-        let build = trial.first().map(|i| s.build[*i]);
-        if build != self.trial {
-            // Both arms start together, so that an earlier trouble or calm counts for neither.
-            self.trial = build;
-            (self.sure_since, self.rehearsed) = (None, None);
-            s.score.iter_mut().chain(s.pace.iter_mut()).for_each(|arm| *arm = Arm::default());
-        }
-        let newest = trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
-        let answering = |side: &[usize]| -> Vec<usize> {
-            side.iter().copied().filter(|i| now - s.last_answer[*i] < DEAD_AFTER).collect()
-        };
-        let (trial, earlier) = (answering(trial), answering(earlier));
+        self.refresh(s, sight.trial.first().map(|i| s.build[*i]), since);
+        let newest = sight.trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
+        sight.trial.retain(|i| now - s.last_answer[*i] < DEAD_AFTER);
+        sight.earlier.retain(|i| now - s.last_answer[*i] < DEAD_AFTER);
+        let (trial, earlier) = (&sight.trial, &sight.earlier);
         self.alone = earlier.is_empty();
-        let was_unwell = self.unwell;
         // Lower than before by more than chance: two standard errors on top of the margin.
         let below = |arm: &Arm, least: f64| {
             arm.count >= LEAST_OUTCOMES && arm.mean + 2.0 * arm.squares.sqrt() / arm.count < least
         };
-        self.unwell = !dead
-            && (below(&self.now[0], self.before.mean - UNWELL_SCORE) || below(&self.now[1], -UNWELL_PACE));
+        let worse = below(&self.now[0], self.before.mean - UNWELL_SCORE) || below(&self.now[1], -UNWELL_PACE);
+        let was_unwell = std::mem::replace(&mut self.unwell, worse && !sight.dead);
         if self.unwell && !was_unwell {
             self.turns = Default::default();
         }
         let Some(news) = news else { return };
-        if news.phase == Phase::Released {
-            let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
-            self.released = Some((news.build, at)).filter(|_| now - at < WATCH);
-        } else {
-            self.released = None;
-        }
-        let on_trial = build == Some(news.build) && news.phase == Phase::OnTrial;
-        let (mut pi, mut why) = (0.5, "");
-        self.enough = false;
+        let on_trial = self.trial == Some(news.build) && news.phase == Phase::OnTrial;
+        let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
+        self.released = (news.phase == Phase::Released && now - at < WATCH).then_some((news.build, at));
         let full = on_trial && (news.cap >= 1.0 || self.alone);
+        let mut found = vec![(0.5, "nothing")];
+        let mut scores = Arm::pool(&s.score, trial, None);
+        let old = Arm::pool(&s.score, earlier, None);
         if on_trial && !full {
-            let count = |side: &[usize]| pool(&s.score, side, None).count;
-            self.outcomes = count(&trial);
-            self.enough = self.outcomes.min(count(&earlier)) >= LEAST_OUTCOMES;
-            let stepped = self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES);
-            for (by, its) in [
-                (Self::pi_by(rng, &s.score, &trial, &earlier, 0.0), "score"),
-                (Self::pi_by(rng, &s.pace, &trial, &earlier, PACE_MARGIN), "pace"),
-                (
-                    if stepped { Self::pi(rng, &self.turns[1], &self.turns[0], STEP_MARGIN) } else { 0.5 },
-                    "all slow in step",
-                ),
-            ] {
-                (pi, why) = if by > pi { (by, its) } else { (pi, why) };
+            found.push((Self::pi_by(rng, &s.score, trial, earlier, 0.0), "score"));
+            found.push((Self::pi_by(rng, &s.pace, trial, earlier, PACE_MARGIN), "pace"));
+            if self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES) {
+                found.push((
+                    Self::pi(rng, &self.turns[1], &self.turns[0], STEP_MARGIN),
+                    "turns that spare it",
+                ));
             }
-        } else if (full || self.released.is_some()) && !dead && !surge {
+        } else if (full || self.released.is_some()) && !sight.dead && !sight.surge {
             // The build carries nearly all: only the time before had a like load, and a wide handicap is due.
-            let now = if on_trial { pool(&s.score, &trial, None) } else { self.now[0] };
-            self.outcomes = now.count;
-            self.enough = on_trial && self.outcomes >= LEAST_OUTCOMES;
-            (pi, why) = (Self::pi(rng, &self.before, &now, COLLAPSE), "collapse since the time before");
-        }
-        self.pi = pi;
-        let sure = pi > 1.0 - self.delta;
-        self.sure_since = if sure { self.sure_since.or(Some(now)) } else { None };
-        let hard = trial.len() < 2 || dead;
-        let sure_for = if self.alone || !on_trial {
-            GONE_SURE_FOR
-        } else if hard {
-            SOLO_SURE_FOR
-        } else {
-            SURE_FOR
+            scores = if on_trial { scores } else { self.now[0] };
+            found.push((Self::pi(rng, &self.before, &scores, COLLAPSE), "collapse since the time before"));
+        }
+        if on_trial || self.released.is_some() {
+            found.push((Self::pi(rng, &self.right[0], &self.right[1], RIGHT_MARGIN), "flags"));
+        }
+        let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
+        (self.pi, self.outcomes) = (pi, scores.count);
+        self.enough = on_trial && scores.count >= LEAST_OUTCOMES && (full || old.count >= LEAST_OUTCOMES);
+        self.sure_since = if pi > 1.0 - self.delta { self.sure_since.or(Some(now)) } else { None };
+        let sure_for = match (self.alone || !on_trial, trial.len() < FEW_MACHINES || sight.dead) {
+            (true, _) => GONE_SURE_FOR,
+            (_, true) => SOLO_SURE_FOR,
+            _ => SURE_FOR,
         };
         if self.condemned != Some(news.build) && self.sure_since.is_some_and(|since| now - since >= sure_for)
         {
@@ -345,8 +353,7 @@
     fn verdict(&mut self, news: &StageNews, since_start: Ms, nobody: bool, now: Ms) -> Verdict {
         let on_trial = news.phase == Phase::OnTrial;
         if self.condemned == Some(news.build) {
-            let stands = on_trial || news.phase == Phase::Released;
-            return if stands { Verdict::Back } else { Verdict::None };
+            return if on_trial || news.phase == Phase::Released { Verdict::Back } else { Verdict::None };
         }
         if !on_trial || nobody || self.trial != Some(news.build) {
             return Verdict::None;
@@ -354,53 +361,43 @@
         if self.terms.mode == VoteMode::Clocked {
             return if self.enough && self.pi > DOUBT { Verdict::Hold } else { Verdict::None };
         }
-        let fit = since_start >= SETTLE && self.pi <= DOUBT && !self.unwell;
+        let fit = since_start >= SETTLE && self.pi <= DOUBT;
         // Nothing is capped any more and the earlier ones still stand by: the trial carries nearly all first.
-        let rehearses =
-            self.pi <= DOUBT && self.enough && news.cap >= 1.0 && !self.alone && since_start >= SETTLE;
+        let rehearses = fit && self.enough && news.cap >= 1.0 && !self.alone;
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
+        let patience = FEW_PATIENCE * if news.cap >= 1.0 { FULL_PATIENCE } else { 1.0 };
         let heard = match self.rehearsed {
             Some(since) => now - since >= REHEARSAL,
-            None => self.enough || since_start >= FEW_PATIENCE * if news.cap >= 1.0 { 3.0 } else { 1.0 },
+            None => self.enough || since_start >= patience,
         };
-        if fit && heard { Verdict::On } else { Verdict::None }
+        if fit && heard && !self.unwell { Verdict::On } else { Verdict::None }
     }
 
     /// Casts, renews, repeats or takes back the one vote of this gateway.
     fn cast(&mut self, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Vec<Action>) {
         let wanted = (news.build, news.stage, verdict);
         let last = self.vote.filter(|last| last.0 == news.build);
+        let on_trial = news.phase == Phase::OnTrial;
         let due = match last {
-            _ if verdict == Verdict::None => last.is_some_and(|(_, stage, was)| {
-                was != Verdict::None && stage == news.stage && news.phase == Phase::OnTrial
-            }),
-            Some(last) if last == wanted => {
-                now - self.voted >= if self.stands { self.terms.stands / 2.0 } else { VOTE_AGAIN }
-            }
-            _ => true,
+            None => verdict != Verdict::None,
+            Some(last) if last != wanted => verdict != Verdict::None || (on_trial && last.1 == news.stage),
+            _ if verdict == Verdict::None => false,
+            _ => now - self.voted >= if self.stands { self.terms.stands / 2.0 } else { VOTE_AGAIN },
         };
-        if due {
-            if last != Some(wanted) {
-                let (build, stage, pi, n) = (news.build, news.stage, self.pi, self.outcomes);
-                out.push(Action::Log(format!(
-                    "vote {verdict:?} on build {build} stage {stage}: pi {pi:.3}, {n:.0} outcomes"
-                )));
-            }
-            self.vote = Some(wanted);
-            self.voted = now;
-            self.stands = true;
-            out.push(Action::Vote { build: news.build, stage: news.stage, verdict });
+        if !due {
+            return;
         }
+        if last != Some(wanted) {
+            let (build, stage, pi, n) = (news.build, news.stage, self.pi, self.outcomes);
+            out.push(Action::Log(format!(
+                "vote {verdict:?} on build {build} stage {stage}: pi {pi:.3}, {n:.0} outcomes"
+            )));
+        }
+        (self.vote, self.voted, self.stands) = (Some(wanted), now, true);
+        out.push(Action::Vote { build: news.build, stage: news.stage, verdict });
     }
 }
 
-/// The arms of several instances as one.
-fn pool(arms: &[Arm], members: &[usize], left_out: Option<usize>) -> Arm {
-    let mut sum = Arm::default();
-    members.iter().filter(|i| Some(**i) != left_out).for_each(|i| sum.merge(&arms[*i]));
-    sum
-}
-
 /// The list of instances and how each one does.
 #[derive(Default)]
 struct Fleet {
@@ -433,11 +430,12 @@
             self.servers.ready.iter_mut().for_each(|ready| *ready = false);
         }
         for entry in entries {
-            let i = self.known(entry);
             let s = &mut self.servers;
+            let i = *self.index.entry(entry.instance.clone()).or_insert_with(|| s.add(entry));
             // An id may return with another build or after a restart: nothing learnt of it counts.
-            if s.build[i] != entry.build || entry.since > s.since[i] + 1.0 {
-                s.begin_life(i, first_cap(entry));
+            if s.life[i] == 0 || s.build[i] != entry.build || entry.since > s.since[i] + 1.0 {
+                // A fresh instance gets little at once; the cap grows with its answers.
+                s.begin_life(i, if entry.since > 0.0 { FRESH_CAP } else { KNOWN_CAP });
             }
             s.build[i] = entry.build;
             s.since[i] = s.since[i].max(entry.since);
@@ -448,16 +446,6 @@
         }
     }
 
-    fn known(&mut self, entry: &Listing) -> usize {
-        if let Some(i) = self.index.get(&entry.instance) {
-            return *i;
-        }
-        let i = self.servers.add(entry);
-        self.index.insert(entry.instance.clone(), i);
-        self.servers.begin_life(i, first_cap(entry));
-        i
-    }
-
     fn ask(&mut self, now: Ms, out: &mut Vec<Action>) {
         let lost = self.asked.is_some_and(|asked| now - asked > ASK_LOST);
         if self.terms.asked && (lost || self.ask_at.is_some_and(|at| at <= now)) {
@@ -485,17 +473,13 @@
 
     /// Takes this gateway's txns per ms and unit of capacity: uneven traffic scales its part by itself.
     fn take_rate(&mut self, now: Ms) {
-        let (mut capacity, mut warm, mut all) = (0.0, 0.0, 0.0);
-        for i in self.ready() {
-            let warmth = self.warmth(i, now);
-            capacity += warmth;
-            warm += f64::from(u8::from(warmth >= 1.0));
-            all += 1.0;
-        }
-        let rate = self.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN / f64::max(capacity, 1.0);
+        let warmth: Vec<f64> = self.ready().map(|i| self.warmth(i, now)).collect();
+        let rate =
+            self.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN / warmth.iter().sum::<f64>().max(1.0);
         self.surge = self.usual > 0.0 && rate > SURGE * self.usual;
         self.rate = if self.usual > 0.0 { rate.min(RATE_SURGE * self.usual) } else { rate };
-        if warm >= MOSTLY_WARM * all {
+        if warmth.iter().filter(|warmth| **warmth >= 1.0).count() as f64 >= MOSTLY_WARM * warmth.len() as f64
+        {
             self.usual += NEWEST * TICK / JUDGE_EVERY * (rate - self.usual);
         }
     }
@@ -564,11 +548,6 @@
     }
 }
 
-/// A fresh instance gets little at once; the cap grows with its answers.
-fn first_cap(entry: &Listing) -> f64 {
-    if entry.since > 0.0 { FRESH_CAP } else { KNOWN_CAP }
-}
-
 /// The decisions of one gateway.
 pub struct Choice {
     zone: String,
@@ -616,13 +595,13 @@
         let delta = DELTA / peeking.max(1.0);
         let ask_at = list.asked.then_some(0.0);
         Choice {
-            fleet: Fleet { ask_at, terms: list, cold, ..Fleet::default() },
+            fleet: Fleet { ask_at, terms: list, cold, ..Default::default() },
             exposure: Exposure {
                 terms: exposure,
                 arrivals: vec![Times::default(); count],
-                ..Exposure::default()
+                ..Default::default()
             },
-            judge: Judge { terms: votes, delta, base: vec![Arm::default(); count], ..Judge::default() },
+            judge: Judge { terms: votes, delta, base: vec![Arm::default(); count], ..Default::default() },
             typical: products.iter().map(|product| product.sla / 4.0).collect(),
             shares: tenants.iter().map(|tenant| (tenant.quota_per_s, 0.0)).collect(),
             part: 1.0 / f64::from(place.gateways.max(1)),
@@ -671,7 +650,8 @@
                 };
                 let tenant = tenant.and_then(|name| self.tenants.iter().position(|known| known.name == name));
                 self.fleet.arrivals.note(now, 2.0 * RATE_SPAN);
-                self.exposure.note_arrival(product, now);
+                let (lane, keep) = (self.exposure.lane(product), 2.0 * self.exposure.terms.window);
+                self.exposure.arrivals[lane].note(now, keep);
                 self.resends = (self.resends + RESEND_SHARE).min(RESEND_SAVED);
                 let terms = &self.products[product];
                 let sla = terms.sla + terms.sla_stretch * work.unwrap_or(0.0);
@@ -705,25 +685,18 @@
                 }
                 self.forget(id);
             }
-            Event::Stage(news) => self.hear_stage(news),
+            Event::Stage(news) if news.valid => self.exposure.hear(&news),
+            Event::Stage(news) => self.judge.stands &= !news.answer || news.unsure,
             Event::Tally { count, .. } => self.tallied += count as f64,
             Event::Flagged { instance, .. } => {
                 if let Some(i) = self.fleet.index.get(&instance) {
-                    self.fleet.servers.score[*i].zero_one();
+                    self.judge.flag(&mut self.fleet.servers, *i);
                 }
             }
             Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
 
-    fn hear_stage(&mut self, news: StageNews) {
-        if news.valid {
-            self.exposure.hear(&news);
-        } else if news.answer && !news.unsure {
-            self.judge.stands = false;
-        }
-    }
-
     /// Takes one txn out of its tenant's share; true where nothing is left of it.
     fn over_share(&mut self, tenant: usize, now: Ms) -> bool {
         let per_ms = self.tenants[tenant].quota_per_s * self.part / 1000.0;
@@ -767,9 +740,9 @@
             self.exposure.note_answer(&txn.key, sub.build);
         }
         if closed {
-            let others: Vec<usize> = (0..txn.submissions.len()).filter(|k| *k != n).collect();
+            let count = txn.submissions.len();
             self.txns.entry(id).and_modify(|txn| txn.answered = true);
-            others.into_iter().for_each(|k| self.recall(id, k));
+            (0..count).for_each(|k| self.recall(id, k));
         } else if !txn.answered && txn.outstanding() == 0 && !txn.streaming {
             if now >= txn.expires - TICK || !self.may_resend(id) {
                 self.answer(id);
@@ -784,7 +757,7 @@
     fn may_resend(&self, id: TxnId) -> bool {
         let txn = &self.txns[&id];
         txn.submissions.len() < self.permits.submissions
-            && !(self.products[txn.product].effect == Effect::OnceOnly && may_have_run(txn).next().is_some())
+            && !(self.products[txn.product].effect == Effect::OnceOnly && txn.may_have_run().next().is_some())
     }
 
     /// The gate of all submissions: every rule that a send could break.
@@ -792,7 +765,7 @@
         let s = &self.fleet.servers;
         let product = &self.products[txn.product];
         let alone = txn.outstanding() == 0 || self.permits.second_copies;
-        let repeatable = may_have_run(txn).all(|sub| match product.effect {
+        let repeatable = txn.may_have_run().all(|sub| match product.effect {
             Effect::InquiryLike => true,
             Effect::OnceOnly => false,
             Effect::Referenced => {
@@ -839,7 +812,9 @@
         }
         let (build, product) = (sub.build, txn.product);
         self.out.push(Action::Submit { id, instance: s.id[i].clone(), limit: None });
-        self.exposure.note_send(product, build, now);
+        let lane = (build, self.exposure.lane(product));
+        let keep = 2.0 * self.exposure.terms.window;
+        self.exposure.sends.entry(lane).or_default().note(now, keep);
         self.txns.entry(id).and_modify(|txn| txn.submissions.push(sub));
         true
     }
@@ -851,8 +826,8 @@
         let product = &self.products[txn.product];
         let harmless = match product.effect {
             Effect::InquiryLike => true,
-            Effect::Referenced => product.group == Group::All || may_have_run(txn).next().is_none(),
-            Effect::OnceOnly => may_have_run(txn).next().is_none(),
+            Effect::Referenced if product.group == Group::All => true,
+            _ => txn.may_have_run().next().is_none(),
         };
         self.out.push(if harmless {
             Action::Decline { id, come_back: self.permits.come_back.map(|most| product.sla.min(most)) }
@@ -1002,11 +977,9 @@
             self.send_elsewhere(id, n, now);
         }
         let (trial, earlier) = self.sides();
-        let news = self.exposure.news.as_ref();
-        let trouble = (self.fleet.many_dead(now), self.fleet.surge);
-        let servers = &mut self.fleet.servers;
-        let sides = (trial.as_slice(), earlier.as_slice());
-        self.judge.judge(&mut self.rng, servers, sides, news, trouble, now, &mut self.out);
+        let sight = Sight { trial, earlier, dead: self.fleet.many_dead(now), surge: self.fleet.surge };
+        let (news, servers) = (self.exposure.news.as_ref(), &mut self.fleet.servers);
+        self.judge.judge(&mut self.rng, servers, sight, news, now, &mut self.out);
     }
 
     /// A txn stuck at a silent instance: a second copy where permitted, else recalled to be sent again.
@@ -1027,8 +1000,3 @@
         }
     }
 }
-
-/// Submissions that may have run, or may still.
-fn may_have_run(txn: &Txn) -> impl Iterator<Item = &Submission> {
-    txn.submissions.iter().filter(|sub| !sub.ending.is_some_and(Ending::never_ran))
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,6 +41,11 @@
     pub fn outstanding(&self) -> usize {
         self.submissions.iter().filter(|s| s.ending.is_none()).count()
     }
+
+    /// Submissions that may have run, or may still.
+    pub fn may_have_run(&self) -> impl Iterator<Item = &Submission> {
+        self.submissions.iter().filter(|sub| !sub.ending.is_some_and(Ending::never_ran))
+    }
 }
 
 /// Count, mean and summed squared deviations of scores.
@@ -78,6 +83,13 @@
         }
     }
 
+    /// The arms of several instances as one.
+    pub fn pool(arms: &[Arm], members: &[usize], left_out: Option<usize>) -> Arm {
+        let mut sum = Arm::default();
+        members.iter().filter(|i| Some(**i) != left_out).for_each(|i| sum.merge(&arms[*i]));
+        sum
+    }
+
     /// Weighs all scores so far down to this share.
     pub fn fade(&mut self, share: f64) {
         self.count *= share;
