--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,7 +33,7 @@
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
 const COLLAPSE: f64 = 0.2; // the same that no good build costs, however loaded
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
-const REHEARSAL: Ms = 2000.0; // ms that the trial carries nearly all before its release
+const REHEARSAL: Ms = 3000.0; // ms that the trial carries nearly all before its release
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
 const SLOT: Ms = 1500.0; // ms of each turn, by the clock all gateways share, with or without the trial
 const TURN_OUTCOMES: f64 = 40.0; // outcomes in either kind of turn: a few turns' worth, for turns differ by themselves
@@ -291,8 +291,9 @@
         self.judged = now;
         self.refresh(s, sight.trial.first().map(|i| s.build[*i]), since);
         let newest = sight.trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
-        sight.trial.retain(|i| now - s.last_answer[*i] < DEAD_AFTER);
-        sight.earlier.retain(|i| now - s.last_answer[*i] < DEAD_AFTER);
+        let lives = |i: &usize| s.aside_until[*i] <= now || now - s.last_answer[*i] < DEAD_AFTER;
+        sight.trial.retain(lives);
+        sight.earlier.retain(lives);
         let (trial, earlier) = (&sight.trial, &sight.earlier);
         self.alone = earlier.is_empty();
         // Lower than before by more than chance: two standard errors on top of the margin.
@@ -321,8 +322,11 @@
                     "turns that spare it",
                 ));
             }
+        } else if full && !self.alone && !self.unwell {
+            // The build carries nearly all, so only the time before had a like load; the earlier ones, idle by
+            // now, tell by being well that nothing else has come over the fleet.
+            found.push((Self::pi(rng, &self.before, &scores, UNWELL_SCORE), "rehearsal"));
         } else if (full || self.released.is_some()) && !sight.dead && !sight.surge {
-            // The build carries nearly all: only the time before had a like load, and a wide handicap is due.
             scores = if on_trial { scores } else { self.now[0] };
             found.push((Self::pi(rng, &self.before, &scores, COLLAPSE), "collapse since the time before"));
         }
@@ -346,11 +350,18 @@
                 "build {build} found bad at stage {stage}: pi {pi:.3} by {why}, {n:.0} outcomes, {on} on trial"
             )));
         }
-        let verdict = self.verdict(news, now - newest, trial.is_empty(), now);
+        let verdict = self.verdict(s, news, now - newest, trial.is_empty(), now);
         self.cast(news, verdict, now, out);
     }
 
-    fn verdict(&mut self, news: &StageNews, since_start: Ms, nobody: bool, now: Ms) -> Verdict {
+    fn verdict(
+        &mut self,
+        s: &mut Servers,
+        news: &StageNews,
+        since_start: Ms,
+        nobody: bool,
+        now: Ms,
+    ) -> Verdict {
         let on_trial = news.phase == Phase::OnTrial;
         if self.condemned == Some(news.build) {
             return if on_trial || news.phase == Phase::Released { Verdict::Back } else { Verdict::None };
@@ -363,11 +374,15 @@
         }
         let fit = since_start >= SETTLE && self.pi <= DOUBT;
         // Nothing is capped any more and the earlier ones still stand by: the trial carries nearly all first.
-        let rehearses = fit && self.enough && news.cap >= 1.0 && !self.alone;
+        let rehearses = fit && (self.enough || self.rehearsed.is_some()) && news.cap >= 1.0 && !self.alone;
+        if rehearses && self.rehearsed.is_none() {
+            // What it did under less load counts no more.
+            s.score.iter_mut().for_each(|arm| *arm = Arm::default());
+        }
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
         let patience = FEW_PATIENCE * if news.cap >= 1.0 { FULL_PATIENCE } else { 1.0 };
         let heard = match self.rehearsed {
-            Some(since) => now - since >= REHEARSAL,
+            Some(since) => self.enough && now - since >= REHEARSAL,
             None => self.enough || since_start >= patience,
         };
         if fit && heard && !self.unwell { Verdict::On } else { Verdict::None }
@@ -643,13 +658,16 @@
     fn hear(&mut self, event: Event, now: Ms) {
         match event {
             Event::Fleet { kind, entries, .. } => self.fleet.hear(kind, &entries, now),
-            Event::Txn { id, product, tenant, key, left, work, .. } => {
+            Event::Txn { id, product, tenant, key, left, work, repeat, .. } => {
                 let Some(product) = self.products.iter().position(|known| known.name == product) else {
                     self.out.push(Action::Void { id });
                     return;
                 };
                 let tenant = tenant.and_then(|name| self.tenants.iter().position(|known| known.name == name));
-                self.fleet.arrivals.note(now, 2.0 * RATE_SPAN);
+                if !repeat {
+                    // Clients that come again are no surge: failures feed them.
+                    self.fleet.arrivals.note(now, 2.0 * RATE_SPAN);
+                }
                 let (lane, keep) = (self.exposure.lane(product), 2.0 * self.exposure.terms.window);
                 self.exposure.arrivals[lane].note(now, keep);
                 self.resends = (self.resends + RESEND_SHARE).min(RESEND_SAVED);
