--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,8 +22,9 @@
 const SOLO_SURE_FOR: Ms = 4000.0; // ms the same for one machine alone or amid dead ones: outlasts its own trouble
 const GONE_SURE_FOR: Ms = 3000.0; // ms the same against the time before: outlasts a short burst
 const SETTLE: Ms = 3000.0; // ms after the newest trial start before going on (design page)
-const FEW_PATIENCE: Ms = 4000.0; // ms after that start when too few outcomes no longer keep a trial waiting
+const FEW_PATIENCE: Ms = 4000.0; // ms per stage, after that start, for which too few outcomes keep a trial waiting
 const FADE_HALF: Ms = 4000.0; // ms in which an outcome's weight halves: long for power, short for late harm
+const FADE_FROM: f64 = 60.0; // outcomes on trial from which old ones fade: few are all there is to judge by
 const NOW_HALF: Ms = 1500.0; // ms the same for how the whole fleet does now
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
 const RIGHT_MARGIN: f64 = 0.005; // share of answers that may be flagged by mistake
@@ -42,7 +43,6 @@
 const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
 const SURGE: f64 = 1.4; // times the usual rate above which trouble is the clients'
 const BASE_FADE: f64 = 0.995; // weight kept per outcome of the time before: some hundreds count
-const FULL_PATIENCE: f64 = 3.0; // times as patient at full cap: the last step before the release
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
 const FRESH_CAP: f64 = 2.0; // in flight at a fresh instance: one running, one to follow
 const KNOWN_CAP: f64 = 4.0; // in flight at an instance met long started
@@ -218,6 +218,14 @@
         self.right[usize::from(self.watched == Some(s.build[i]))].zero_one();
     }
 
+    /// A txn that found no room counts against the fleet as a whole.
+    fn note_given_up(&mut self) {
+        self.now[0].add(0.0);
+        if self.trial.is_none() && self.released.is_none() {
+            self.before.add(0.0);
+        }
+    }
+
     /// Whether this is a turn that spares the trial.
     fn spares(now: Ms) -> bool {
         (now / SLOT).rem_euclid(2.0) >= 1.0
@@ -261,7 +269,10 @@
     /// trouble or calm counts for neither.
     fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms) {
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
-        s.score.iter_mut().chain(s.pace.iter_mut()).for_each(|arm| arm.fade(half(FADE_HALF)));
+        let of_trial = |i: &usize| Some(s.build[*i]) == trial;
+        if (0..s.id.len()).filter(of_trial).map(|i| s.score[i].count).sum::<f64>() > FADE_FROM {
+            s.score.iter_mut().chain(s.pace.iter_mut()).for_each(|arm| arm.fade(half(FADE_HALF)));
+        }
         self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
         if trial != self.trial {
             self.trial = trial;
@@ -380,7 +391,8 @@
             s.score.iter_mut().for_each(|arm| *arm = Arm::default());
         }
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
-        let patience = FEW_PATIENCE * if news.cap >= 1.0 { FULL_PATIENCE } else { 1.0 };
+        // The further it has come, the more a wrong step costs, and one vote of the least informed is enough.
+        let patience = FEW_PATIENCE * f64::from(news.stage + 1);
         let heard = match self.rehearsed {
             Some(since) => self.enough && now - since >= REHEARSAL,
             None => self.enough || since_start >= patience,
@@ -841,6 +853,9 @@
     fn answer(&mut self, id: TxnId) {
         let Some(txn) = self.txns.get_mut(&id).filter(|txn| !txn.answered) else { return };
         txn.answered = true;
+        if txn.submissions.is_empty() {
+            self.judge.note_given_up();
+        }
         let product = &self.products[txn.product];
         let harmless = match product.effect {
             Effect::InquiryLike => true,
