--- a/src/choice.rs
+++ b/src/choice.rs
@@ -233,7 +233,7 @@
 
     /// While all instances are slow, every other turn spares the trial: if that helps, the build is the cause.
     fn withholds(&self, now: Ms) -> bool {
-        self.unwell && self.trial.is_some() && Self::spares(now)
+        self.unwell && now < 0.0
     }
 
     /// The share of draws in which the first arm is best, even with a handicap.
@@ -287,12 +287,7 @@
 
     /// Judges the build on trial, or just released, every so often, and votes.
     fn judge(
-        &mut self,
-        rng: &mut Pcg64Mcg,
-        s: &mut Servers,
-        mut sight: Sight,
-        news: Option<&StageNews>,
-        now: Ms,
+        &mut self, rng: &mut Pcg64Mcg, s: &mut Servers, mut sight: Sight, news: Option<&StageNews>, now: Ms,
         out: &mut Vec<Action>,
     ) {
         let since = now - self.judged;
@@ -327,7 +322,7 @@
         if on_trial && !full {
             found.push((Self::pi_by(rng, &s.score, trial, earlier, 0.0), "score"));
             found.push((Self::pi_by(rng, &s.pace, trial, earlier, PACE_MARGIN), "pace"));
-            if self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES) {
+            if self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES) && now < 0.0 {
                 found.push((
                     Self::pi(rng, &self.turns[1], &self.turns[0], STEP_MARGIN),
                     "turns that spare it",
@@ -366,12 +361,7 @@
     }
 
     fn verdict(
-        &mut self,
-        s: &mut Servers,
-        news: &StageNews,
-        since_start: Ms,
-        nobody: bool,
-        now: Ms,
+        &mut self, s: &mut Servers, news: &StageNews, since_start: Ms, nobody: bool, now: Ms,
     ) -> Verdict {
         let on_trial = news.phase == Phase::OnTrial;
         if self.condemned == Some(news.build) {
@@ -604,16 +594,8 @@
 impl Choice {
     #[allow(clippy::too_many_arguments)]
     pub fn new(
-        seed: u64,
-        place: Place,
-        products: Vec<Product>,
-        tenants: Vec<Tenant>,
-        permits: Permits,
-        list: ListTerms,
-        cold: ColdStart,
-        exposure: ExposureTerms,
-        votes: VoteTerms,
-        evidence: Evidence,
+        seed: u64, place: Place, products: Vec<Product>, tenants: Vec<Tenant>, permits: Permits,
+        list: ListTerms, cold: ColdStart, exposure: ExposureTerms, votes: VoteTerms, evidence: Evidence,
         costs: Costs,
     ) -> Self {
         let count = products.len();
