--- a/src/choice.rs
+++ b/src/choice.rs
@@ -233,7 +233,7 @@
 
     /// While all instances are slow, every other turn spares the trial: if that helps, the build is the cause.
     fn withholds(&self, now: Ms) -> bool {
-        self.unwell && now < 0.0
+        self.unwell && self.trial.is_some() && Self::spares(now)
     }
 
     /// The share of draws in which the first arm is best, even with a handicap.
@@ -322,7 +322,7 @@
         if on_trial && !full {
             found.push((Self::pi_by(rng, &s.score, trial, earlier, 0.0), "score"));
             found.push((Self::pi_by(rng, &s.pace, trial, earlier, PACE_MARGIN), "pace"));
-            if self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES) && now < 0.0 {
+            if self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES) {
                 found.push((
                     Self::pi(rng, &self.turns[1], &self.turns[0], STEP_MARGIN),
                     "turns that spare it",
