--- a/crates/wire/src/terms.rs
+++ b/crates/wire/src/terms.rs
@@ -260,16 +260,10 @@
             late_share: class.late_share,
             streamed: class.stream,
         });
-        let tenants = self.orgs.into_iter().map(|org| api::Tenant {
-            name: org.name,
-            quota_per_s: org.quota_per_s,
-            share: org.share,
-        });
         Choice::new(
             seed,
             api::Place { me: self.me, gateways: self.replicas_of_me, zone: self.locality },
             products.collect(),
-            tenants.collect(),
             api::Permits {
                 submissions: permissions.try_limit,
                 second_copies: permissions.second_copies,
@@ -312,11 +306,6 @@
                 answer_within: ms(domain.api_timeout),
                 beside: domain.style == Style::SideBySide,
             },
-            api::Evidence {
-                flag_share: domain.flag_share,
-                tally: ms(domain.tally),
-                tally_share: domain.sampled_share,
-            },
             api::Costs {
                 cross_zone: self.prices.cross_zone,
                 over_share: self.over_share_worth,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,6 +51,7 @@
 const QUEUE_SHARE: f64 = 0.35; // mean share of the SLA time that answers may take before the cap falls
 const PATIENCE: f64 = 0.5; // share of the SLA time that a silent instance gets before a txn goes elsewhere
 const HEAVY: f64 = 3.0; // times its usual or hinted time that a txn may take without suspicion
+const NEEDED: f64 = 0.5; // share of the usual time that must be left for a waiting txn to have a chance
 const SICK_ERRORS: f64 = 0.6; // share of errors of a sick machine; builds were never met that bad
 const WELL_ERRORS: f64 = 0.25; // share of errors of its like below which it is sick alone
 const ASIDE: Ms = 500.0; // ms that an instance is left aside at first, doubling
@@ -352,9 +353,8 @@
         {
             self.condemned = Some(news.build);
             let (build, stage, n, on) = (news.build, news.stage, self.outcomes, trial.len());
-            out.push(Action::Log(format!(
-                "build {build} found bad at stage {stage}: pi {pi:.3} by {why}, {n:.0} outcomes, {on} on trial"
-            )));
+            let by = format!("pi {pi:.3} by {why}, {n:.0} outcomes, {on} on trial");
+            out.push(Action::Log(format!("build {build} found bad at stage {stage}: {by}")));
         }
         let verdict = self.verdict(s, news, now - newest, trial.is_empty(), now);
         self.cast(news, verdict, now, out);
@@ -404,14 +404,14 @@
         if !due {
             return;
         }
+        let (build, stage, pi, n) = (news.build, news.stage, self.pi, self.outcomes);
         if last != Some(wanted) {
-            let (build, stage, pi, n) = (news.build, news.stage, self.pi, self.outcomes);
-            out.push(Action::Log(format!(
-                "vote {verdict:?} on build {build} stage {stage}: pi {pi:.3}, {n:.0} outcomes"
-            )));
+            let what =
+                format!("vote {verdict:?} on build {build} stage {stage}: pi {pi:.3}, {n:.0} outcomes");
+            out.push(Action::Log(what));
         }
         (self.vote, self.voted, self.stands) = (Some(wanted), now, true);
-        out.push(Action::Vote { build: news.build, stage: news.stage, verdict });
+        out.push(Action::Vote { build, stage, verdict });
     }
 }
 
@@ -422,7 +422,6 @@
     cold: ColdStart,
     servers: Servers,
     index: BTreeMap<String, usize>,
-    asked: Option<Ms>,
     ask_at: Option<Ms>,
     /// Txns that came in, and their usual rate per warm instance and ms.
     arrivals: Times,
@@ -434,17 +433,17 @@
 
 impl Fleet {
     fn hear(&mut self, kind: ListKind, entries: &[Listing], now: Ms) {
-        if kind == ListKind::Failed {
+        match kind {
             // It does not say whether the watch stands: ask again soon, or the gateway is deemed told.
-            self.asked = None;
-            self.ask_at = Some(now + ASK_AGAIN.min(self.terms.ask_within / 2.0));
-            return;
-        }
-        if kind != ListKind::Cached {
-            self.asked = None;
-        }
-        if kind != ListKind::Changes {
-            self.servers.ready.iter_mut().for_each(|ready| *ready = false);
+            ListKind::Failed => self.ask_at = Some(now + ASK_AGAIN.min(self.terms.ask_within / 2.0)),
+            // A whole list leaves out what is gone.
+            ListKind::Changes => self.ask_at = None,
+            // A whole list leaves out what is gone; a cached one answers no call.
+            ListKind::Whole => {
+                self.ask_at = None;
+                self.servers.ready.fill(false);
+            }
+            ListKind::Cached => self.servers.ready.fill(false),
         }
         for entry in entries {
             let s = &mut self.servers;
@@ -454,20 +453,14 @@
                 // A fresh instance gets little at once; the cap grows with its answers.
                 s.begin_life(i, if entry.since > 0.0 { FRESH_CAP } else { KNOWN_CAP });
             }
-            s.build[i] = entry.build;
-            s.since[i] = s.since[i].max(entry.since);
-            s.weight[i] = if entry.weight > 0.0 { entry.weight } else { 1.0 };
-            s.zone[i].clone_from(&entry.zone);
-            s.cell[i] = entry.cell;
-            s.ready[i] = entry.state == Standing::Ready;
+            s.relist(i, entry);
         }
     }
 
     fn ask(&mut self, now: Ms, out: &mut Vec<Action>) {
-        let lost = self.asked.is_some_and(|asked| now - asked > ASK_LOST);
-        if self.terms.asked && (lost || self.ask_at.is_some_and(|at| at <= now)) {
-            self.asked = Some(now);
-            self.ask_at = None;
+        if self.terms.asked && self.ask_at.is_some_and(|at| at <= now) {
+            // Each call gets one answer; one that does not come is taken as lost.
+            self.ask_at = Some(now + ASK_LOST);
             out.push(Action::Watch { on: true });
         }
     }
@@ -553,10 +546,9 @@
             Ending::ConnectionLost => self.leave_aside(i, "connection lost", now, out),
             Ending::Error if s.errors[i] > SICK_ERRORS => {
                 let s = &self.servers;
-                let others = self.ready().filter(|o| *o != i && s.build[*o] == s.build[i]);
-                let (sum, count) =
-                    others.fold((0.0, 0.0), |(sum, count), o| (sum + s.errors[o], count + 1.0));
-                if count == 0.0 || sum / count < WELL_ERRORS {
+                let like = |o: &usize| *o != i && s.build[*o] == s.build[i];
+                let others: Vec<f64> = self.ready().filter(like).map(|o| s.errors[o]).collect();
+                if others.iter().sum::<f64>() <= WELL_ERRORS * others.len() as f64 {
                     self.leave_aside(i, "errors that its like don't have", now, out);
                 }
             }
@@ -569,10 +561,8 @@
 pub struct Choice {
     zone: String,
     products: Vec<Product>,
-    tenants: Vec<Tenant>,
     permits: Permits,
     costs: Costs,
-    evidence: Evidence,
     rng: Pcg64Mcg,
     fleet: Fleet,
     exposure: Exposure,
@@ -582,11 +572,6 @@
     /// Usual time of an answer, by product.
     typical: Vec<Ms>,
     resends: f64,
-    /// Txns left in each tenant's share, and when that was reckoned.
-    shares: Vec<(f64, Ms)>,
-    /// This gateway's part of all traffic.
-    part: f64,
-    tallied: f64,
     ticking: bool,
     out: Vec<Action>,
 }
@@ -594,9 +579,8 @@
 impl Choice {
     #[allow(clippy::too_many_arguments)]
     pub fn new(
-        seed: u64, place: Place, products: Vec<Product>, tenants: Vec<Tenant>, permits: Permits,
-        list: ListTerms, cold: ColdStart, exposure: ExposureTerms, votes: VoteTerms, evidence: Evidence,
-        costs: Costs,
+        seed: u64, place: Place, products: Vec<Product>, permits: Permits, list: ListTerms, cold: ColdStart,
+        exposure: ExposureTerms, votes: VoteTerms, costs: Costs,
     ) -> Self {
         let count = products.len();
         // One vote of many that each look often: the chance of a wrong one is shared.
@@ -612,19 +596,14 @@
             },
             judge: Judge { terms: votes, delta, base: vec![Arm::default(); count], ..Default::default() },
             typical: products.iter().map(|product| product.sla / 4.0).collect(),
-            shares: tenants.iter().map(|tenant| (tenant.quota_per_s, 0.0)).collect(),
-            part: 1.0 / f64::from(place.gateways.max(1)),
             rng: Pcg64Mcg::seed_from_u64(seed),
             zone: place.zone,
             products,
-            tenants,
             permits,
             costs,
-            evidence,
             txns: BTreeMap::new(),
             waiting: Vec::new(),
             resends: RESEND_SAVED,
-            tallied: 0.0,
             ticking: false,
             out: Vec::new(),
         }
@@ -644,7 +623,6 @@
             self.out.push(Action::Wake { after: TICK, token: "tick".to_string() });
             self.look_round(now);
         }
-        self.settle_tallies(now);
         self.serve_waiting(now);
         std::mem::take(&mut self.out)
     }
@@ -652,12 +630,11 @@
     fn hear(&mut self, event: Event, now: Ms) {
         match event {
             Event::Fleet { kind, entries, .. } => self.fleet.hear(kind, &entries, now),
-            Event::Txn { id, product, tenant, key, left, work, repeat, .. } => {
+            Event::Txn { id, product, key, left, work, repeat, .. } => {
                 let Some(product) = self.products.iter().position(|known| known.name == product) else {
                     self.out.push(Action::Void { id });
                     return;
                 };
-                let tenant = tenant.and_then(|name| self.tenants.iter().position(|known| known.name == name));
                 if !repeat {
                     // Clients that come again are no surge: failures feed them.
                     self.fleet.arrivals.note(now, 2.0 * RATE_SPAN);
@@ -667,75 +644,31 @@
                 self.resends = (self.resends + RESEND_SHARE).min(RESEND_SAVED);
                 let terms = &self.products[product];
                 let sla = terms.sla + terms.sla_stretch * work.unwrap_or(0.0);
-                let txn = Txn {
-                    product,
-                    tenant,
-                    key,
-                    came: now,
-                    expires: now + left,
-                    in_time: now + sla.min(left),
-                    work,
-                    over_share: tenant.is_some_and(|tenant| self.over_share(tenant, now)),
-                    submissions: Vec::new(),
-                    streaming: false,
-                    answered: false,
-                };
+                let txn = Txn::new(product, key, work, now, left, sla);
                 self.txns.insert(id, txn);
                 self.waiting.push(id);
             }
             Event::Began { id, .. } => {
-                if let Some(txn) = self.txns.get_mut(&id) {
-                    txn.streaming = true;
-                }
+                self.txns.entry(id).and_modify(|txn| txn.streaming = true);
             }
             Event::Ended { id, submission, ending, closed, took, .. } => {
                 self.ended(id, submission as usize, ending, closed, took, now);
             }
-            Event::ClientGone { id } => {
-                if let Some(txn) = self.txns.get_mut(&id) {
-                    txn.answered = true;
-                }
-                self.forget(id);
-            }
+            Event::ClientGone { id } => self.close(id),
             Event::Stage(news) if news.valid => self.exposure.hear(&news),
             Event::Stage(news) => self.judge.stands &= !news.answer || news.unsure,
-            Event::Tally { count, .. } => self.tallied += count as f64,
             Event::Flagged { instance, .. } => {
-                if let Some(i) = self.fleet.index.get(&instance) {
-                    self.judge.flag(&mut self.fleet.servers, *i);
-                }
+                let known = self.fleet.index.get(&instance);
+                known.into_iter().for_each(|i| self.judge.flag(&mut self.fleet.servers, *i));
             }
-            Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } | Event::Tally { .. } => {}
         }
     }
 
-    /// Takes one txn out of its tenant's share; true where nothing is left of it.
-    fn over_share(&mut self, tenant: usize, now: Ms) -> bool {
-        let per_ms = self.tenants[tenant].quota_per_s * self.part / 1000.0;
-        let (left, at) = self.shares[tenant];
-        let most = (per_ms * RATE_SPAN).max(1.0);
-        let left = (left + per_ms * (now - at)).min(most);
-        let over = left < 1.0;
-        self.shares[tenant] = (if over { left } else { left - 1.0 }, now);
-        over
-    }
-
-    /// Tallies cover all gateways: set against its own traffic, they show this gateway's part.
-    fn settle_tallies(&mut self, now: Ms) {
-        if self.tallied > 0.0 && self.evidence.tally > 0.0 && self.evidence.tally_share > 0.0 {
-            let all = self.tallied / self.evidence.tally_share / self.evidence.tally;
-            let mine = self.fleet.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN;
-            self.part += 2.0 * NEWEST * ((mine / all).min(1.0) - self.part);
-        }
-        self.tallied = 0.0;
-    }
-
     fn ended(&mut self, id: TxnId, n: usize, ending: Ending, closed: bool, took: Ms, now: Ms) {
         let Some(txn) = self.txns.get_mut(&id) else { return };
-        let Some(sub) = txn.submissions.get_mut(n) else { return };
-        if sub.ending.replace(ending).is_some() {
-            return;
-        }
+        let Some(sub) = txn.submissions.get_mut(n).filter(|sub| sub.ending.is_none()) else { return };
+        sub.ending = Some(ending);
         let (sub, txn) = (sub.clone(), &*txn);
         let servers = &mut self.fleet.servers;
         let product = &self.products[txn.product];
@@ -752,9 +685,7 @@
             self.exposure.note_answer(&txn.key, sub.build);
         }
         if closed {
-            let count = txn.submissions.len();
-            self.txns.entry(id).and_modify(|txn| txn.answered = true);
-            (0..count).for_each(|k| self.recall(id, k));
+            self.close(id);
         } else if !txn.answered && txn.outstanding() == 0 && !txn.streaming {
             if now >= txn.expires - TICK || !self.may_resend(id) {
                 self.answer(id);
@@ -765,6 +696,14 @@
         self.forget(id);
     }
 
+    /// Nothing more is sent for this txn; what is still out is called back.
+    fn close(&mut self, id: TxnId) {
+        let Some(txn) = self.txns.get_mut(&id) else { return };
+        txn.answered = true;
+        (0..txn.submissions.len()).for_each(|n| self.recall(id, n));
+        self.forget(id);
+    }
+
     /// Some instance could still get this txn, as far as the rules on repeats go.
     fn may_resend(&self, id: TxnId) -> bool {
         let txn = &self.txns[&id];
@@ -807,24 +746,13 @@
         }
         let warmth = self.fleet.warmth(i, now);
         let s = &mut self.fleet.servers;
-        let sub = Submission {
-            server: i,
-            life: s.life[i],
-            build: s.build[i],
-            zone: s.zone[i].clone(),
-            cell: s.cell[i],
-            sent: now,
-            warmth,
-            ending: None,
-            recalled: false,
-        };
+        let sub = s.submission(i, warmth, now);
         s.in_flight[i] += 1;
         if warmth < 1.0 {
             s.sends[i].note(now, 2.0 * self.fleet.cold.span);
         }
-        let (build, product) = (sub.build, txn.product);
         self.out.push(Action::Submit { id, instance: s.id[i].clone(), limit: None });
-        let lane = (build, self.exposure.lane(product));
+        let lane = (sub.build, self.exposure.lane(txn.product));
         let keep = 2.0 * self.exposure.terms.window;
         self.exposure.sends.entry(lane).or_default().note(now, keep);
         self.txns.entry(id).and_modify(|txn| txn.submissions.push(sub));
@@ -833,8 +761,7 @@
 
     /// The gate of all final answers: declined where trying again is harmless, voided otherwise.
     fn answer(&mut self, id: TxnId) {
-        let Some(txn) = self.txns.get_mut(&id).filter(|txn| !txn.answered) else { return };
-        txn.answered = true;
+        let Some(txn) = self.txns.get(&id).filter(|txn| !txn.answered) else { return };
         if txn.submissions.is_empty() {
             self.judge.note_given_up();
         }
@@ -849,9 +776,7 @@
         } else {
             Action::Void { id }
         });
-        let count = txn.submissions.len();
-        (0..count).for_each(|n| self.recall(id, n));
-        self.forget(id);
+        self.close(id);
     }
 
     fn recall(&mut self, id: TxnId, n: usize) {
@@ -918,12 +843,8 @@
         let newest = earlier.iter().map(|i| s.build[*i]).max().unwrap_or(0);
         let newest: Vec<usize> = earlier.iter().copied().filter(|i| s.build[*i] == newest).collect();
         let order = if trial_first { [trial, &newest, earlier] } else { [&newest, earlier, trial] };
-        for side in order {
-            if let Some(i) = self.pick(id, side, now) {
-                return self.submit(id, i, now);
-            }
-        }
-        false
+        let picked = order.into_iter().find_map(|side| self.pick(id, side, now));
+        picked.is_some_and(|i| self.submit(id, i, now))
     }
 
     /// Sends what waits, the best paid and the newest first, for a queue served in order makes all of it late;
@@ -935,23 +856,18 @@
         let sides = self.sides();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|id| self.txns.get(id).is_some_and(|txn| !txn.answered));
-        let value = |id: &TxnId| {
-            let txn = &self.txns[id];
-            self.products[txn.product].revenue * if txn.over_share { self.costs.over_share } else { 1.0 }
-        };
+        let value = |id: &TxnId| self.products[self.txns[id].product].revenue;
         let came = |id: &TxnId| self.txns[id].came;
         waiting
             .sort_by(|a, b| value(b).total_cmp(&value(a)).then(came(b).total_cmp(&came(a))).then(a.cmp(b)));
         for id in waiting {
-            if self.place(id, &sides, now) {
-                continue;
-            }
             let txn = &self.txns[&id];
-            let needs = self.typical[txn.product].max(txn.work.unwrap_or(0.0)) * 0.5;
-            if now + needs > txn.in_time || now >= txn.expires - TICK {
-                self.answer(id);
-            } else {
-                self.waiting.push(id);
+            let needs = self.typical[txn.product].max(txn.work.unwrap_or(0.0)) * NEEDED;
+            let hopeless = now + needs > txn.in_time || now >= txn.expires - TICK;
+            match self.place(id, &sides, now) {
+                true => {}
+                false if hopeless => self.answer(id),
+                false => self.waiting.push(id),
             }
         }
     }
@@ -960,37 +876,33 @@
     fn look_round(&mut self, now: Ms) {
         self.fleet.ask(now, &mut self.out);
         self.fleet.take_rate(now);
-        let mut stuck = Vec::new();
-        let mut over = Vec::new();
-        let mut silent: BTreeMap<usize, u32> = BTreeMap::new();
+        let (mut stuck, mut over) = (Vec::new(), Vec::new());
+        let s = &self.fleet.servers;
+        let mut silent = vec![0; s.id.len()];
         for (id, txn) in self.txns.iter().filter(|(_, txn)| !txn.streaming) {
             let sla = self.products[txn.product].sla;
-            for (n, sub) in txn.submissions.iter().enumerate().filter(|(_, sub)| sub.ending.is_none()) {
-                let s = &self.fleet.servers;
+            let usual = self.typical[txn.product].max(txn.work.unwrap_or(0.0));
+            let patience = (PATIENCE * sla).max(HEAVY * usual).min(sla);
+            let waits = |sub: &Submission| sub.ending.is_none() && now - sub.sent > patience;
+            for (n, sub) in txn.submissions.iter().enumerate().filter(|(_, sub)| waits(sub)) {
                 let same = s.life[sub.server] == sub.life;
-                let quiet = !same || s.last_answer[sub.server] < sub.sent;
-                let usual = self.typical[txn.product].max(txn.work.unwrap_or(0.0));
-                let age = now - sub.sent;
-                if quiet && age > (PATIENCE * sla).max(HEAVY * usual).min(sla) {
-                    if same && age >= sla {
-                        *silent.entry(sub.server).or_default() += 1;
-                    }
-                    if !txn.answered && txn.outstanding() == 1 {
-                        stuck.push((*id, n));
-                    }
+                if same && s.last_answer[sub.server] >= sub.sent {
+                    continue;
+                }
+                silent[sub.server] += usize::from(same && now - sub.sent >= sla);
+                if !txn.answered && txn.outstanding() == 1 {
+                    stuck.push((*id, n));
                 }
             }
             if !txn.answered && now >= txn.expires {
                 over.push(*id);
             }
         }
-        for (i, _) in silent.into_iter().filter(|(_, count)| *count >= 2) {
+        for i in (0..silent.len()).filter(|i| silent[*i] >= 2) {
             self.fleet.leave_aside(i, "silent", now, &mut self.out);
         }
         over.into_iter().for_each(|id| self.answer(id));
-        for (id, n) in stuck {
-            self.send_elsewhere(id, n, now);
-        }
+        stuck.into_iter().for_each(|(id, n)| self.send_elsewhere(id, n, now));
         let (trial, earlier) = self.sides();
         let sight = Sight { trial, earlier, dead: self.fleet.many_dead(now), surge: self.fleet.surge };
         let (news, servers) = (self.exposure.news.as_ref(), &mut self.fleet.servers);
@@ -1000,18 +912,15 @@
     /// A txn stuck at a silent instance: a second copy where permitted, else recalled to be sent again.
     fn send_elsewhere(&mut self, id: TxnId, n: usize, now: Ms) {
         let txn = &self.txns[&id];
-        let effect = self.products[txn.product].effect;
-        if self.resends < 1.0 || now >= txn.in_time || effect == Effect::OnceOnly || !self.may_resend(id) {
+        if self.resends < 1.0 || now >= txn.in_time || !self.may_resend(id) {
             return;
         }
+        let recalled = txn.submissions[n].recalled;
         if !self.permits.second_copies {
-            self.resends -= f64::from(u8::from(self.permits.recall && !txn.submissions[n].recalled));
             self.recall(id, n);
-        } else {
-            let sides = self.sides();
-            if self.place(id, &sides, now) {
-                self.resends -= 1.0;
-            }
+            self.resends -= f64::from(u8::from(self.permits.recall && !recalled));
+        } else if self.place(id, &self.sides(), now) {
+            self.resends -= 1.0;
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! Plain records that the decisions keep; no decisions here.
 
-use crate::api::{Build, Ending, Listing, Ms};
+use crate::api::{Build, Ending, Listing, Ms, Standing};
 use std::collections::VecDeque;
 
 /// One submission of a txn.
@@ -23,7 +23,6 @@
 #[derive(Clone, Debug)]
 pub struct Txn {
     pub product: usize,
-    pub tenant: Option<usize>,
     pub key: Option<String>,
     pub came: Ms,
     /// When the client gives up on this try.
@@ -31,13 +30,18 @@
     /// When an answer stops being in time.
     pub in_time: Ms,
     pub work: Option<Ms>,
-    pub over_share: bool,
     pub submissions: Vec<Submission>,
     pub streaming: bool,
     pub answered: bool,
 }
 
 impl Txn {
+    pub fn new(product: usize, key: Option<String>, work: Option<Ms>, now: Ms, left: Ms, sla: Ms) -> Txn {
+        let (submissions, streaming, answered) = (Vec::new(), false, false);
+        let (came, expires, in_time) = (now, now + left, now + sla.min(left));
+        Txn { product, key, came, expires, in_time, work, submissions, streaming, answered }
+    }
+
     pub fn outstanding(&self) -> usize {
         self.submissions.iter().filter(|s| s.ending.is_none()).count()
     }
@@ -162,6 +166,23 @@
         self.id.len() - 1
     }
 
+    /// Takes over what the list says of an instance.
+    pub fn relist(&mut self, i: usize, entry: &Listing) {
+        self.build[i] = entry.build;
+        self.since[i] = self.since[i].max(entry.since);
+        self.weight[i] = if entry.weight > 0.0 { entry.weight } else { 1.0 };
+        self.zone[i].clone_from(&entry.zone);
+        self.cell[i] = entry.cell;
+        self.ready[i] = entry.state == Standing::Ready;
+    }
+
+    /// A submission to an instance as it stands.
+    pub fn submission(&self, server: usize, warmth: f64, sent: Ms) -> Submission {
+        let (life, build, cell) = (self.life[server], self.build[server], self.cell[server]);
+        let zone = self.zone[server].clone();
+        Submission { server, life, build, zone, cell, sent, warmth, ending: None, recalled: false }
+    }
+
     /// Forgets all that was learnt of an instance.
     pub fn begin_life(&mut self, i: usize, in_flight_cap: f64) {
         self.life[i] += 1;
