--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,14 +27,18 @@
 const FADE_FROM: f64 = 60.0; // outcomes on trial from which old ones fade: few are all there is to judge by
 const NOW_HALF: Ms = 1500.0; // ms the same for how the whole fleet does now
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
-const RIGHT_MARGIN: f64 = 0.005; // share of answers that may be flagged by mistake
 const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
+const AGED_MARGIN: f64 = 0.05; // handicap on top for machines that ran a while: they are few
+const AGED_SPANS: f64 = 2.0; // warm-up spans after which a machine has run a while
+const SCORE: usize = 0; // kinds of arms, and what is added for those of machines that ran a while
+const PACE: usize = 1;
+const AGED: usize = 2;
 const UNWELL_PACE: f64 = 0.26; // log of 1.3: the whole fleet is slower than before the trial
 const STEP_MARGIN: f64 = 0.1; // log of 1.1: earlier instances are quicker while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
 const COLLAPSE: f64 = 0.2; // the same that no good build costs, however loaded
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
-const REHEARSAL: Ms = 3000.0; // ms that the trial carries nearly all before its release
+const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: hardly any delay, much told
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
 const SLOT: Ms = 1500.0; // ms of each turn, by the clock all gateways share, with or without the trial
 const TURN_OUTCOMES: f64 = 40.0; // outcomes in either kind of turn: a few turns' worth, for turns differ by themselves
@@ -167,9 +171,10 @@
     alone: bool,
     /// Pace of the earlier instances in turns with and without traffic on trial.
     turns: [Arm; 2],
-    /// The build last on trial; answers not flagged of the others and of it.
+    /// The build last on trial; answers and flags of the others and of it.
     watched: Option<Build>,
-    right: [Arm; 2],
+    answers: [(f64, f64); 2],
+    aged_after: Ms,
 }
 
 impl Judge {
@@ -183,40 +188,40 @@
         }
         // A cold machine is no slow build: its time counts as at the capacity that it had at least.
         let warm_time = took * sub.warmth;
-        let score = f64::from(u8::from(ending == Ending::Settled && warm_time <= sla));
-        s.score[i].add(score);
         let calm = self.trial.is_none() && self.released.is_none();
-        let learn_base = |arm: &mut Arm, value: f64| {
-            if calm || arm.count < LEAST_OUTCOMES {
-                arm.add(value);
-                arm.fade(BASE_FADE);
+        let earlier = self.trial != Some(sub.build);
+        let aged = sub.sent - s.since[i] > self.aged_after;
+        let mut learn = |kind: usize, value: f64, before: &mut Arm| {
+            if calm || before.count < LEAST_OUTCOMES {
+                before.add(value);
+                before.fade(BASE_FADE);
+            }
+            let value = if kind == PACE { value - before.mean } else { value };
+            s.arms[kind][i].add(value);
+            if aged {
+                s.arms[kind + AGED][i].add(value);
             }
+            if earlier || self.alone {
+                self.now[kind].add(value);
+            }
+            value
         };
-        learn_base(&mut self.before, score);
-        let earlier = self.trial != Some(sub.build);
-        if earlier || self.alone {
-            self.now[0].add(score);
-        }
-        if ending != Ending::Settled {
-            return;
-        }
-        self.right[usize::from(self.watched == Some(sub.build))].add(1.0);
-        let pace = -(warm_time.max(0.1) / txn.work.map_or(1.0, |work| work.max(0.1))).ln();
-        learn_base(&mut self.base[txn.product], pace);
-        let pace = pace - self.base[txn.product].mean;
-        s.pace[i].add(pace);
-        if earlier || self.alone {
-            self.now[1].add(pace);
-        }
-        if self.unwell && earlier && (sub.sent / SLOT).fract() >= SLOT_LEAD {
-            self.turns[usize::from(Self::spares(sub.sent))].add(pace);
+        let score = f64::from(u8::from(ending == Ending::Settled && warm_time <= sla));
+        learn(SCORE, score, &mut self.before);
+        if ending == Ending::Settled {
+            self.answers[usize::from(self.watched == Some(sub.build))].0 += 1.0;
+            let pace = -(warm_time.max(0.1) / txn.work.map_or(1.0, |work| work.max(0.1))).ln();
+            let pace = learn(PACE, pace, &mut self.base[txn.product]);
+            if self.unwell && earlier && (sub.sent / SLOT).fract() >= SLOT_LEAD {
+                self.turns[usize::from(Self::spares(sub.sent))].add(pace);
+            }
         }
     }
 
     /// A client found an answer wrong: its score becomes 0.
     fn flag(&mut self, s: &mut Servers, i: usize) {
-        s.score[i].zero_one();
-        self.right[usize::from(self.watched == Some(s.build[i]))].zero_one();
+        s.arms[SCORE][i].zero_one();
+        self.answers[usize::from(self.watched == Some(s.build[i]))].1 += 1.0;
     }
 
     /// A txn that found no room counts against the fleet as a whole.
@@ -227,6 +232,20 @@
         }
     }
 
+    /// The chance of fewer flags than the watched build has, were it as right as the others: flags are too rare
+    /// for a Gaussian posterior.
+    fn flagged(&self) -> f64 {
+        let [(others, mistaken), (answers, flags)] = self.answers;
+        let expected = answers * (mistaken + 0.5) / others.max(1.0);
+        let mut chance = (-expected).exp();
+        let mut fewer = 0.0;
+        for k in 0..flags as u32 {
+            fewer += chance;
+            chance *= expected / f64::from(k + 1);
+        }
+        fewer
+    }
+
     /// Whether this is a turn that spares the trial.
     fn spares(now: Ms) -> bool {
         (now / SLOT).rem_euclid(2.0) >= 1.0
@@ -256,14 +275,14 @@
     }
 
     /// π by one kind of arm; a single machine far worse than the rest of its build does not count.
-    fn pi_by(rng: &mut Pcg64Mcg, arms: &[Arm], trial: &[usize], earlier: &[usize], handicap: f64) -> f64 {
-        let (old, new) = (Arm::pool(arms, earlier, None), Arm::pool(arms, trial, None));
-        let pi = Self::pi(rng, &old, &new, handicap);
+    fn pi_by(rng: &mut Pcg64Mcg, arms: &[Arm], trial: &[usize], old: &Arm, handicap: f64) -> f64 {
+        let new = Arm::pool(arms, trial, None);
+        let pi = Self::pi(rng, old, &new, handicap);
         let harm = |i: &usize| arms[*i].count * (new.mean - arms[*i].mean);
         let worst = trial.iter().copied().max_by(|a, b| harm(a).total_cmp(&harm(b)));
         let rest = Arm::pool(arms, trial, worst);
         let alone = pi <= DOUBT || rest.count < LEAST_OUTCOMES;
-        if alone { pi } else { pi.min(Self::pi(rng, &old, &rest, handicap)) }
+        if alone { pi } else { pi.min(Self::pi(rng, old, &rest, handicap)) }
     }
 
     /// Fades what is old, and begins both arms together when a build comes on trial, so that an earlier
@@ -271,18 +290,18 @@
     fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms) {
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
         let of_trial = |i: &usize| Some(s.build[*i]) == trial;
-        if (0..s.id.len()).filter(of_trial).map(|i| s.score[i].count).sum::<f64>() > FADE_FROM {
-            s.score.iter_mut().chain(s.pace.iter_mut()).for_each(|arm| arm.fade(half(FADE_HALF)));
+        if (0..s.id.len()).filter(of_trial).map(|i| s.arms[SCORE][i].count).sum::<f64>() > FADE_FROM {
+            s.arms.iter_mut().flatten().for_each(|arm| arm.fade(half(FADE_HALF)));
         }
         self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
         if trial != self.trial {
             self.trial = trial;
             (self.sure_since, self.rehearsed) = (None, None);
-            s.score.iter_mut().chain(s.pace.iter_mut()).for_each(|arm| *arm = Arm::default());
+            s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
         }
         if trial.is_some() && trial != self.watched {
             self.watched = trial;
-            self.right[1] = Arm::default();
+            self.answers[1] = (0.0, 0.0);
         }
     }
 
@@ -318,11 +337,17 @@
         self.released = (news.phase == Phase::Released && now - at < WATCH).then_some((news.build, at));
         let full = on_trial && (news.cap >= 1.0 || self.alone);
         let mut found = vec![(0.5, "nothing")];
-        let mut scores = Arm::pool(&s.score, trial, None);
-        let old = Arm::pool(&s.score, earlier, None);
+        let mut scores = Arm::pool(&s.arms[SCORE], trial, None);
+        let old = Arm::pool(&s.arms[SCORE], earlier, None);
         if on_trial && !full {
-            found.push((Self::pi_by(rng, &s.score, trial, earlier, 0.0), "score"));
-            found.push((Self::pi_by(rng, &s.pace, trial, earlier, PACE_MARGIN), "pace"));
+            for (kind, handicap, why) in [(SCORE, 0.0, "score"), (PACE, PACE_MARGIN, "pace")] {
+                let old = Arm::pool(&s.arms[kind], earlier, None);
+                found.push((Self::pi_by(rng, &s.arms[kind], trial, &old, handicap), why));
+                // Machines that ran a while tell alone of a build that turns bad late.
+                let (aged, why) =
+                    (&s.arms[kind + AGED], if kind == SCORE { "aged score" } else { "aged pace" });
+                found.push((Self::pi_by(rng, aged, trial, &old, handicap + AGED_MARGIN), why));
+            }
             if self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES) {
                 found.push((
                     Self::pi(rng, &self.turns[1], &self.turns[0], STEP_MARGIN),
@@ -338,7 +363,7 @@
             found.push((Self::pi(rng, &self.before, &scores, COLLAPSE), "collapse since the time before"));
         }
         if on_trial || self.released.is_some() {
-            found.push((Self::pi(rng, &self.right[0], &self.right[1], RIGHT_MARGIN), "flags"));
+            found.push((self.flagged(), "flags"));
         }
         let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         (self.pi, self.outcomes) = (pi, scores.count);
@@ -375,10 +400,10 @@
         }
         let fit = since_start >= SETTLE && self.pi <= DOUBT;
         // Nothing is capped any more and the earlier ones still stand by: the trial carries nearly all first.
-        let rehearses = fit && (self.enough || self.rehearsed.is_some()) && news.cap >= 1.0 && !self.alone;
+        let rehearses = fit && (self.enough || self.rehearsed.is_some()) && news.cap >= 1.0;
         if rehearses && self.rehearsed.is_none() {
             // What it did under less load counts no more.
-            s.score.iter_mut().for_each(|arm| *arm = Arm::default());
+            s.arms[SCORE].fill(Arm::default());
         }
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
         // The further it has come, the more a wrong step costs, and one vote of the least informed is enough.
@@ -586,6 +611,7 @@
         // One vote of many that each look often: the chance of a wrong one is shared.
         let peeking = f64::from(place.gateways) / f64::from(votes.to_revert.max(1));
         let delta = DELTA / peeking.max(1.0);
+        let aged_after = AGED_SPANS * cold.warm_up;
         let ask_at = list.asked.then_some(0.0);
         Choice {
             fleet: Fleet { ask_at, terms: list, cold, ..Default::default() },
@@ -594,7 +620,13 @@
                 arrivals: vec![Times::default(); count],
                 ..Default::default()
             },
-            judge: Judge { terms: votes, delta, base: vec![Arm::default(); count], ..Default::default() },
+            judge: Judge {
+                terms: votes,
+                delta,
+                aged_after,
+                base: vec![Arm::default(); count],
+                ..Default::default()
+            },
             typical: products.iter().map(|product| product.sla / 4.0).collect(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             zone: place.zone,
--- a/src/state.rs
+++ b/src/state.rs
@@ -138,8 +138,8 @@
     pub errors: Vec<f64>,
     pub aside_until: Vec<Ms>,
     pub aside_times: Vec<u32>,
-    pub score: Vec<Arm>,
-    pub pace: Vec<Arm>,
+    /// Arms by kind, then by instance.
+    pub arms: [Vec<Arm>; 4],
     pub sends: Vec<Times>,
 }
 
@@ -160,8 +160,7 @@
         self.errors.push(0.0);
         self.aside_until.push(0.0);
         self.aside_times.push(0);
-        self.score.push(Arm::default());
-        self.pace.push(Arm::default());
+        self.arms.iter_mut().for_each(|arms| arms.push(Arm::default()));
         self.sends.push(Times::default());
         self.id.len() - 1
     }
@@ -191,8 +190,7 @@
         self.errors[i] = 0.0;
         self.aside_until[i] = 0.0;
         self.aside_times[i] = 0;
-        self.score[i] = Arm::default();
-        self.pace[i] = Arm::default();
+        self.arms.iter_mut().for_each(|arms| arms[i] = Arm::default());
         self.sends[i] = Times::default();
     }
 }
