--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,6 +33,7 @@
 const SCORE: usize = 0; // kinds of arms, and what is added for those of machines that ran a while
 const PACE: usize = 1;
 const AGED: usize = 2;
+const RIGHT: usize = 4; // answers that were neither errors nor flagged
 const UNWELL_PACE: f64 = 0.26; // log of 1.3: the whole fleet is slower than before the trial
 const STEP_MARGIN: f64 = 0.1; // log of 1.1: earlier instances are quicker while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
@@ -171,9 +172,9 @@
     alone: bool,
     /// Pace of the earlier instances in turns with and without traffic on trial.
     turns: [Arm; 2],
-    /// The build last on trial; answers and flags of the others and of it.
+    /// The build last on trial; and how right the answers of all others were.
     watched: Option<Build>,
-    answers: [(f64, f64); 2],
+    others: Arm,
     aged_after: Ms,
 }
 
@@ -191,6 +192,13 @@
         let calm = self.trial.is_none() && self.released.is_none();
         let earlier = self.trial != Some(sub.build);
         let aged = sub.sent - s.since[i] > self.aged_after;
+        if ending != Ending::NoAnswer {
+            let right = f64::from(u8::from(ending == Ending::Settled));
+            s.arms[RIGHT][i].add(right);
+            if self.watched != Some(sub.build) {
+                self.others.add(right);
+            }
+        }
         let mut learn = |kind: usize, value: f64, before: &mut Arm| {
             if calm || before.count < LEAST_OUTCOMES {
                 before.add(value);
@@ -209,7 +217,6 @@
         let score = f64::from(u8::from(ending == Ending::Settled && warm_time <= sla));
         learn(SCORE, score, &mut self.before);
         if ending == Ending::Settled {
-            self.answers[usize::from(self.watched == Some(sub.build))].0 += 1.0;
             let pace = -(warm_time.max(0.1) / txn.work.map_or(1.0, |work| work.max(0.1))).ln();
             let pace = learn(PACE, pace, &mut self.base[txn.product]);
             if self.unwell && earlier && (sub.sent / SLOT).fract() >= SLOT_LEAD {
@@ -221,7 +228,10 @@
     /// A client found an answer wrong: its score becomes 0.
     fn flag(&mut self, s: &mut Servers, i: usize) {
         s.arms[SCORE][i].zero_one();
-        self.answers[usize::from(self.watched == Some(s.build[i]))].1 += 1.0;
+        s.arms[RIGHT][i].zero_one();
+        if self.watched != Some(s.build[i]) {
+            self.others.zero_one();
+        }
     }
 
     /// A txn that found no room counts against the fleet as a whole.
@@ -232,14 +242,22 @@
         }
     }
 
-    /// The chance of fewer flags than the watched build has, were it as right as the others: flags are too rare
-    /// for a Gaussian posterior.
-    fn flagged(&self) -> f64 {
-        let [(others, mistaken), (answers, flags)] = self.answers;
-        let expected = answers * (mistaken + 0.5) / others.max(1.0);
-        let mut chance = (-expected).exp();
-        let mut fewer = 0.0;
-        for k in 0..flags as u32 {
+    /// The chance of fewer errors and flags than the watched build has, were it as right as the others: they are
+    /// too rare for a Gaussian posterior. The worst machine does not count where there are more.
+    fn faults(&self, s: &Servers) -> f64 {
+        let wrong = |arm: &Arm| arm.count * (1.0 - arm.mean);
+        let machines =
+            (0..s.id.len()).filter(|i| Some(s.build[*i]) == self.watched && s.arms[RIGHT][*i].count > 0.0);
+        let mut arms: Vec<Arm> = machines.map(|i| s.arms[RIGHT][i]).collect();
+        arms.sort_by(|a, b| wrong(a).total_cmp(&wrong(b)));
+        if arms.len() > 1 {
+            arms.pop();
+        }
+        let (answers, faults) =
+            arms.iter().fold((0.0, 0.0), |sum, arm| (sum.0 + arm.count, sum.1 + wrong(arm)));
+        let expected = answers * (wrong(&self.others) + 0.5) / self.others.count.max(1.0);
+        let (mut fewer, mut chance) = (0.0, (-expected).exp());
+        for k in 0..faults.round() as u32 {
             fewer += chance;
             chance *= expected / f64::from(k + 1);
         }
@@ -291,7 +309,7 @@
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
         let of_trial = |i: &usize| Some(s.build[*i]) == trial;
         if (0..s.id.len()).filter(of_trial).map(|i| s.arms[SCORE][i].count).sum::<f64>() > FADE_FROM {
-            s.arms.iter_mut().flatten().for_each(|arm| arm.fade(half(FADE_HALF)));
+            s.arms[..RIGHT].iter_mut().flatten().for_each(|arm| arm.fade(half(FADE_HALF)));
         }
         self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
         if trial != self.trial {
@@ -301,7 +319,6 @@
         }
         if trial.is_some() && trial != self.watched {
             self.watched = trial;
-            self.answers[1] = (0.0, 0.0);
         }
     }
 
@@ -363,7 +380,7 @@
             found.push((Self::pi(rng, &self.before, &scores, COLLAPSE), "collapse since the time before"));
         }
         if on_trial || self.released.is_some() {
-            found.push((self.flagged(), "flags"));
+            found.push((self.faults(s), "errors and flags"));
         }
         let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         (self.pi, self.outcomes) = (pi, scores.count);
@@ -409,7 +426,7 @@
         // The further it has come, the more a wrong step costs, and one vote of the least informed is enough.
         let patience = FEW_PATIENCE * f64::from(news.stage + 1);
         let heard = match self.rehearsed {
-            Some(since) => self.enough && now - since >= REHEARSAL,
+            Some(since) => self.enough && now - since >= if self.alone { SETTLE } else { REHEARSAL },
             None => self.enough || since_start >= patience,
         };
         if fit && heard && !self.unwell { Verdict::On } else { Verdict::None }
