--- a/crates/wire/src/terms.rs
+++ b/crates/wire/src/terms.rs
@@ -73,12 +73,6 @@
     #[serde(rename = "api-timeout-s", default)]
     api_timeout: f64,
     style: Style,
-    #[serde(default)]
-    flag_share: f64,
-    #[serde(rename = "tally-s", default)]
-    tally: f64,
-    #[serde(default)]
-    sampled_share: f64,
 }
 
 #[derive(Deserialize, PartialEq)]
@@ -103,14 +97,6 @@
     Rolling,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Org {
-    name: String,
-    quota_per_s: f64,
-    share: f64,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Permissions {
@@ -131,7 +117,6 @@
 #[serde(rename_all = "kebab-case", default)]
 struct Prices {
     cross_zone: f64,
-    probe: f64,
 }
 
 #[derive(Deserialize)]
@@ -167,10 +152,6 @@
     #[serde(default)]
     locality: String,
     me: u32,
-    #[serde(default)]
-    orgs: Vec<Org>,
-    #[serde(default)]
-    over_share_worth: f64,
     permissions: Permissions,
     #[serde(default)]
     prices: Prices,
@@ -306,11 +287,7 @@
                 answer_within: ms(domain.api_timeout),
                 beside: domain.style == Style::SideBySide,
             },
-            api::Costs {
-                cross_zone: self.prices.cross_zone,
-                over_share: self.over_share_worth,
-                probe: self.prices.probe,
-            },
+            api::Costs { cross_zone: self.prices.cross_zone },
         )
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -201,12 +201,11 @@
     pub streamed: bool,
 }
 
-/// A tenant's share of the service, over all gateways.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Tenant {
-    pub name: String,
-    pub quota_per_s: f64,
-    pub share: f64,
+impl Product {
+    /// The SLA time of one txn.
+    pub fn sla_for(&self, work: Option<Ms>) -> Ms {
+        self.sla + self.sla_stretch * work.unwrap_or(0.0)
+    }
 }
 
 /// What a gateway may do.
@@ -274,20 +273,8 @@
     pub beside: bool,
 }
 
-/// What else there is to judge by.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Evidence {
-    /// The share of wrong answers that clients report.
-    pub flag_share: f64,
-    /// The period of the platform's counts; 0: none.
-    pub tally: Ms,
-    pub tally_share: f64,
-}
-
-/// What crossing zones costs, and what a txn beyond its tenant's share is worth.
+/// What it costs to cross zones, per txn that does.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Costs {
     pub cross_zone: f64,
-    pub over_share: f64,
-    pub probe: f64,
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, StudentT};
 use rand_pcg::Pcg64Mcg;
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 const TICK: Ms = 10.0; // ms between looks at held and silent txns: a few of the finest batches
@@ -28,12 +29,9 @@
 const NOW_HALF: Ms = 1500.0; // ms the same for how the whole fleet does now
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
 const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
-const AGED_MARGIN: f64 = 0.05; // handicap on top for machines that ran a while: they are few
-const AGED_SPANS: f64 = 2.0; // warm-up spans after which a machine has run a while
 const SCORE: usize = 0; // kinds of arms, and what is added for those of machines that ran a while
 const PACE: usize = 1;
-const AGED: usize = 2;
-const RIGHT: usize = 4; // answers that were neither errors nor flagged
+const RIGHT: usize = 2; // answers that were neither errors nor flagged
 const UNWELL_PACE: f64 = 0.26; // log of 1.3: the whole fleet is slower than before the trial
 const STEP_MARGIN: f64 = 0.1; // log of 1.1: earlier instances are quicker while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
@@ -66,8 +64,6 @@
 const MARGIN: Ms = 20.0; // ms kept from the ends of spans that rules set
 const COLD_BURST: f64 = 1.0; // submissions that a cold instance may get beyond its part of the rate
 const RATE_SPAN: Ms = 2000.0; // ms over which this gateway's own rate is taken
-const RATE_SURGE: f64 = 1.5; // times the usual rate that a cold instance's part may reach
-const MOSTLY_WARM: f64 = 0.8; // share of warm instances from which the rate counts as usual
 const CROSS_BIAS: f64 = 0.7; // in flight that an instance across zones counts extra, where crossing costs
 const ASK_AGAIN: Ms = 500.0; // ms before a failed call for the list is repeated
 const ASK_LOST: Ms = 4000.0; // ms before an unanswered call is taken as lost
@@ -88,12 +84,12 @@
         if self.terms.by_product { product } else { 0 }
     }
 
-    /// Cap and stage of a build on trial; none for builds that are not.
+    /// Cap and stage of a build on trial; one not announced yet counts as in the first stage.
     fn on_trial(&self, build: Build, lowest: Build) -> Option<(f64, u32)> {
+        let first = (self.terms.caps[0], 0);
         match &self.news {
-            // Without news the newest builds are taken as unannounced: the first stage's cap.
-            None => (build > lowest).then_some((self.terms.caps[0], 0)),
-            Some(news) if build > news.build => Some((self.terms.caps[0], 0)),
+            None => (build > lowest).then_some(first),
+            Some(news) if build > news.build => Some(first),
             Some(news) => {
                 (build == news.build && news.phase != Phase::Released).then_some((news.cap, news.stage))
             }
@@ -105,32 +101,32 @@
             return false;
         }
         let Some((cap, stage)) = self.on_trial(build, lowest) else { return true };
-        if cap <= 0.0 || (stage < self.terms.closed_stages && effect != Effect::InquiryLike) {
-            return false;
-        }
-        let lane = self.lane(txn.product);
-        let since = now - self.terms.window;
+        let open = cap > 0.0 && (stage >= self.terms.closed_stages || effect == Effect::InquiryLike);
+        let (lane, since) = (self.lane(txn.product), now - self.terms.window);
         let sent = self.sends.get(&(build, lane)).map_or(0, |sends| sends.since(since - MARGIN));
         let came = self.arrivals[lane].since(since + MARGIN);
-        (sent + 1) as f64 <= self.terms.free + cap * came as f64
+        open && (sent + 1) as f64 <= self.terms.free + cap * came as f64
     }
 
     /// A key that the new build has answered goes to no earlier one while the new one stands.
     fn note_answer(&mut self, key: &Option<String>, build: Build) {
-        let stands = |news: &StageNews| matches!(news.phase, Phase::OnTrial | Phase::Released);
-        let news = self.news.as_ref();
-        let binds = news.is_none_or(|news| build > news.build || (build == news.build && stands(news)));
-        if let Some(key) = key.as_ref().filter(|_| self.terms.no_return && binds) {
+        let stands = |news: &StageNews| {
+            build > news.build
+                || (build == news.build && matches!(news.phase, Phase::OnTrial | Phase::Released))
+        };
+        if let Some(key) =
+            key.as_ref().filter(|_| self.terms.no_return && self.news.as_ref().is_none_or(stands))
+        {
             let bound = self.bound.entry(key.clone()).or_insert(build);
             *bound = build.max(*bound);
         }
     }
 
-    fn hear(&mut self, news: &StageNews) {
+    fn hear(&mut self, news: StageNews) {
         if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
             self.bound.retain(|_, build| *build != news.build);
         }
-        self.news = Some(news.clone());
+        self.news = Some(news);
     }
 }
 
@@ -141,6 +137,7 @@
     /// Many instances are dead, or clients send far more than usual: slowness then is not the build's.
     dead: bool,
     surge: bool,
+    now: Ms,
 }
 
 /// Judges builds and votes.
@@ -154,7 +151,9 @@
     outcomes: f64,
     enough: bool,
     sure_since: Option<Ms>,
+    /// The build now on trial, and the one last so.
     trial: Option<Build>,
+    watched: Option<Build>,
     released: Option<(Build, Ms)>,
     rehearsed: Option<Ms>,
     /// The build that was found bad: that verdict stays.
@@ -162,9 +161,9 @@
     vote: Option<(Build, u32, Verdict)>,
     voted: Ms,
     stands: bool,
-    /// Mean log pace per product, and share in time, while no build was on trial.
-    base: Vec<Arm>,
+    /// While no build was on trial: share in time, and mean log pace per product.
     before: Arm,
+    base: Vec<Arm>,
     /// Score and pace just now of the instances that are not on trial.
     now: [Arm; 2],
     unwell: bool,
@@ -172,33 +171,27 @@
     alone: bool,
     /// Pace of the earlier instances in turns with and without traffic on trial.
     turns: [Arm; 2],
-    /// The build last on trial; and how right the answers of all others were.
-    watched: Option<Build>,
+    /// How right all answers were that the watched build did not give.
     others: Arm,
-    aged_after: Ms,
 }
 
 impl Judge {
     /// Takes one outcome into the arms of its instance.
     fn learn(&mut self, s: &mut Servers, sub: &Submission, txn: &Txn, ending: Ending, took: Ms, sla: Ms) {
-        let i = sub.server;
+        let (i, settled) = (sub.server, ending == Ending::Settled);
         // A machine that is down, full or silent tells of itself, not of its build.
         let quiet = ending == Ending::NoAnswer && s.last_answer[i] < sub.sent;
         if quiet || !matches!(ending, Ending::Settled | Ending::Error | Ending::NoAnswer) {
             return;
         }
-        // A cold machine is no slow build: its time counts as at the capacity that it had at least.
-        let warm_time = took * sub.warmth;
-        let calm = self.trial.is_none() && self.released.is_none();
-        let earlier = self.trial != Some(sub.build);
-        let aged = sub.sent - s.since[i] > self.aged_after;
         if ending != Ending::NoAnswer {
-            let right = f64::from(u8::from(ending == Ending::Settled));
-            s.arms[RIGHT][i].add(right);
+            s.arms[RIGHT][i].add(f64::from(u8::from(settled)));
             if self.watched != Some(sub.build) {
-                self.others.add(right);
+                self.others.add(f64::from(u8::from(settled)));
             }
         }
+        let calm = self.trial.is_none() && self.released.is_none();
+        let earlier = self.trial != Some(sub.build);
         let mut learn = |kind: usize, value: f64, before: &mut Arm| {
             if calm || before.count < LEAST_OUTCOMES {
                 before.add(value);
@@ -206,21 +199,19 @@
             }
             let value = if kind == PACE { value - before.mean } else { value };
             s.arms[kind][i].add(value);
-            if aged {
-                s.arms[kind + AGED][i].add(value);
-            }
             if earlier || self.alone {
                 self.now[kind].add(value);
             }
             value
         };
-        let score = f64::from(u8::from(ending == Ending::Settled && warm_time <= sla));
-        learn(SCORE, score, &mut self.before);
-        if ending == Ending::Settled {
+        // A cold machine is no slow build: its time counts as at the capacity that it had at least.
+        let warm_time = took * sub.warmth;
+        learn(SCORE, f64::from(u8::from(settled && warm_time <= sla)), &mut self.before);
+        if settled {
             let pace = -(warm_time.max(0.1) / txn.work.map_or(1.0, |work| work.max(0.1))).ln();
             let pace = learn(PACE, pace, &mut self.base[txn.product]);
             if self.unwell && earlier && (sub.sent / SLOT).fract() >= SLOT_LEAD {
-                self.turns[usize::from(Self::spares(sub.sent))].add(pace);
+                self.turns[usize::from(spares(sub.sent))].add(pace);
             }
         }
     }
@@ -236,42 +227,15 @@
 
     /// A txn that found no room counts against the fleet as a whole.
     fn note_given_up(&mut self) {
-        self.now[0].add(0.0);
+        self.now[SCORE].add(0.0);
         if self.trial.is_none() && self.released.is_none() {
             self.before.add(0.0);
         }
     }
 
-    /// The chance of fewer errors and flags than the watched build has, were it as right as the others: they are
-    /// too rare for a Gaussian posterior. The worst machine does not count where there are more.
-    fn faults(&self, s: &Servers) -> f64 {
-        let wrong = |arm: &Arm| arm.count * (1.0 - arm.mean);
-        let machines =
-            (0..s.id.len()).filter(|i| Some(s.build[*i]) == self.watched && s.arms[RIGHT][*i].count > 0.0);
-        let mut arms: Vec<Arm> = machines.map(|i| s.arms[RIGHT][i]).collect();
-        arms.sort_by(|a, b| wrong(a).total_cmp(&wrong(b)));
-        if arms.len() > 1 {
-            arms.pop();
-        }
-        let (answers, faults) =
-            arms.iter().fold((0.0, 0.0), |sum, arm| (sum.0 + arm.count, sum.1 + wrong(arm)));
-        let expected = answers * (wrong(&self.others) + 0.5) / self.others.count.max(1.0);
-        let (mut fewer, mut chance) = (0.0, (-expected).exp());
-        for k in 0..faults.round() as u32 {
-            fewer += chance;
-            chance *= expected / f64::from(k + 1);
-        }
-        fewer
-    }
-
-    /// Whether this is a turn that spares the trial.
-    fn spares(now: Ms) -> bool {
-        (now / SLOT).rem_euclid(2.0) >= 1.0
-    }
-
     /// While all instances are slow, every other turn spares the trial: if that helps, the build is the cause.
     fn withholds(&self, now: Ms) -> bool {
-        self.unwell && self.trial.is_some() && Self::spares(now)
+        self.unwell && self.trial.is_some() && spares(now)
     }
 
     /// The share of draws in which the first arm is best, even with a handicap.
@@ -293,18 +257,37 @@
     }
 
     /// π by one kind of arm; a single machine far worse than the rest of its build does not count.
-    fn pi_by(rng: &mut Pcg64Mcg, arms: &[Arm], trial: &[usize], old: &Arm, handicap: f64) -> f64 {
-        let new = Arm::pool(arms, trial, None);
-        let pi = Self::pi(rng, old, &new, handicap);
+    fn pi_by(rng: &mut Pcg64Mcg, arms: &[Arm], trial: &[usize], earlier: &[usize], handicap: f64) -> f64 {
+        let (old, new) = (Arm::pool(arms, earlier, None), Arm::pool(arms, trial, None));
+        let pi = Self::pi(rng, &old, &new, handicap);
         let harm = |i: &usize| arms[*i].count * (new.mean - arms[*i].mean);
         let worst = trial.iter().copied().max_by(|a, b| harm(a).total_cmp(&harm(b)));
         let rest = Arm::pool(arms, trial, worst);
         let alone = pi <= DOUBT || rest.count < LEAST_OUTCOMES;
-        if alone { pi } else { pi.min(Self::pi(rng, old, &rest, handicap)) }
+        if alone { pi } else { pi.min(Self::pi(rng, &old, &rest, handicap)) }
+    }
+
+    /// The chance of fewer errors and flags than the watched build has, were it as right as the others: they are
+    /// too rare for a Gaussian posterior. The worst machine does not count where there are more.
+    fn faults(&self, s: &Servers) -> f64 {
+        let wrong = |arm: &Arm| arm.count * (1.0 - arm.mean);
+        let of_build = |i: &usize| Some(s.build[*i]) == self.watched && s.arms[RIGHT][*i].count > 0.0;
+        let mut arms: Vec<Arm> = (0..s.id.len()).filter(of_build).map(|i| s.arms[RIGHT][i]).collect();
+        arms.sort_by(|a, b| wrong(a).total_cmp(&wrong(b)));
+        let counted = &arms[..arms.len().saturating_sub(1).max(arms.len().min(1))];
+        let answers: f64 = counted.iter().map(|arm| arm.count).sum();
+        let faults: f64 = counted.iter().map(wrong).sum();
+        let expected = answers * (wrong(&self.others) + 0.5) / self.others.count.max(1.0);
+        let (mut fewer, mut chance) = (0.0, (-expected).exp());
+        for k in 0..faults.round() as u32 {
+            fewer += chance;
+            chance *= expected / f64::from(k + 1);
+        }
+        fewer
     }
 
-    /// Fades what is old, and begins both arms together when a build comes on trial, so that an earlier
-    /// trouble or calm counts for neither.
+    /// Fades what is old, and begins all arms together when a build comes on trial, so that an earlier trouble
+    /// or calm counts for none.
     fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms) {
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
         let of_trial = |i: &usize| Some(s.build[*i]) == trial;
@@ -313,26 +296,23 @@
         }
         self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
         if trial != self.trial {
-            self.trial = trial;
-            (self.sure_since, self.rehearsed) = (None, None);
+            (self.trial, self.sure_since, self.rehearsed) = (trial, None, None);
+            self.watched = trial.or(self.watched);
             s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
         }
-        if trial.is_some() && trial != self.watched {
-            self.watched = trial;
-        }
     }
 
     /// Judges the build on trial, or just released, every so often, and votes.
     fn judge(
-        &mut self, rng: &mut Pcg64Mcg, s: &mut Servers, mut sight: Sight, news: Option<&StageNews>, now: Ms,
+        &mut self, rng: &mut Pcg64Mcg, s: &mut Servers, mut sight: Sight, news: &StageNews,
         out: &mut Vec<Action>,
     ) {
-        let since = now - self.judged;
-        if since < JUDGE_EVERY {
+        let now = sight.now;
+        if now - self.judged < JUDGE_EVERY {
             return;
         }
+        self.refresh(s, sight.trial.first().map(|i| s.build[*i]), now - self.judged);
         self.judged = now;
-        self.refresh(s, sight.trial.first().map(|i| s.build[*i]), since);
         let newest = sight.trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
         let lives = |i: &usize| s.aside_until[*i] <= now || now - s.last_answer[*i] < DEAD_AFTER;
         sight.trial.retain(lives);
@@ -343,28 +323,20 @@
         let below = |arm: &Arm, least: f64| {
             arm.count >= LEAST_OUTCOMES && arm.mean + 2.0 * arm.squares.sqrt() / arm.count < least
         };
-        let worse = below(&self.now[0], self.before.mean - UNWELL_SCORE) || below(&self.now[1], -UNWELL_PACE);
-        let was_unwell = std::mem::replace(&mut self.unwell, worse && !sight.dead);
-        if self.unwell && !was_unwell {
+        let [score, pace] = &self.now;
+        let worse = below(score, self.before.mean - UNWELL_SCORE) || below(pace, -UNWELL_PACE);
+        if !std::mem::replace(&mut self.unwell, worse && !sight.dead) {
             self.turns = Default::default();
         }
-        let Some(news) = news else { return };
         let on_trial = self.trial == Some(news.build) && news.phase == Phase::OnTrial;
         let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
         self.released = (news.phase == Phase::Released && now - at < WATCH).then_some((news.build, at));
         let full = on_trial && (news.cap >= 1.0 || self.alone);
         let mut found = vec![(0.5, "nothing")];
         let mut scores = Arm::pool(&s.arms[SCORE], trial, None);
-        let old = Arm::pool(&s.arms[SCORE], earlier, None);
         if on_trial && !full {
-            for (kind, handicap, why) in [(SCORE, 0.0, "score"), (PACE, PACE_MARGIN, "pace")] {
-                let old = Arm::pool(&s.arms[kind], earlier, None);
-                found.push((Self::pi_by(rng, &s.arms[kind], trial, &old, handicap), why));
-                // Machines that ran a while tell alone of a build that turns bad late.
-                let (aged, why) =
-                    (&s.arms[kind + AGED], if kind == SCORE { "aged score" } else { "aged pace" });
-                found.push((Self::pi_by(rng, aged, trial, &old, handicap + AGED_MARGIN), why));
-            }
+            found.push((Self::pi_by(rng, &s.arms[SCORE], trial, earlier, 0.0), "score"));
+            found.push((Self::pi_by(rng, &s.arms[PACE], trial, earlier, PACE_MARGIN), "pace"));
             if self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES) {
                 found.push((
                     Self::pi(rng, &self.turns[1], &self.turns[0], STEP_MARGIN),
@@ -376,7 +348,7 @@
             // now, tell by being well that nothing else has come over the fleet.
             found.push((Self::pi(rng, &self.before, &scores, UNWELL_SCORE), "rehearsal"));
         } else if (full || self.released.is_some()) && !sight.dead && !sight.surge {
-            scores = if on_trial { scores } else { self.now[0] };
+            scores = if on_trial { scores } else { self.now[SCORE] };
             found.push((Self::pi(rng, &self.before, &scores, COLLAPSE), "collapse since the time before"));
         }
         if on_trial || self.released.is_some() {
@@ -384,6 +356,7 @@
         }
         let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         (self.pi, self.outcomes) = (pi, scores.count);
+        let old = Arm::pool(&s.arms[SCORE], earlier, None);
         self.enough = on_trial && scores.count >= LEAST_OUTCOMES && (full || old.count >= LEAST_OUTCOMES);
         self.sure_since = if pi > 1.0 - self.delta { self.sure_since.or(Some(now)) } else { None };
         let sure_for = match (self.alone || !on_trial, trial.len() < FEW_MACHINES || sight.dead) {
@@ -394,69 +367,67 @@
         if self.condemned != Some(news.build) && self.sure_since.is_some_and(|since| now - since >= sure_for)
         {
             self.condemned = Some(news.build);
-            let (build, stage, n, on) = (news.build, news.stage, self.outcomes, trial.len());
-            let by = format!("pi {pi:.3} by {why}, {n:.0} outcomes, {on} on trial");
+            let by = format!("pi {pi:.3} by {why}, {:.0} outcomes, {} on trial", scores.count, trial.len());
+            let (build, stage) = (news.build, news.stage);
             out.push(Action::Log(format!("build {build} found bad at stage {stage}: {by}")));
         }
-        let verdict = self.verdict(s, news, now - newest, trial.is_empty(), now);
+        let since_start = if on_trial && !trial.is_empty() { now - newest } else { f64::NEG_INFINITY };
+        let verdict = self.verdict(s, news, since_start, now);
         self.cast(news, verdict, now, out);
     }
 
-    fn verdict(
-        &mut self, s: &mut Servers, news: &StageNews, since_start: Ms, nobody: bool, now: Ms,
-    ) -> Verdict {
-        let on_trial = news.phase == Phase::OnTrial;
+    fn verdict(&mut self, s: &mut Servers, news: &StageNews, since_start: Ms, now: Ms) -> Verdict {
         if self.condemned == Some(news.build) {
-            return if on_trial || news.phase == Phase::Released { Verdict::Back } else { Verdict::None };
-        }
-        if !on_trial || nobody || self.trial != Some(news.build) {
-            return Verdict::None;
+            let stands = matches!(news.phase, Phase::OnTrial | Phase::Released);
+            return if stands { Verdict::Back } else { Verdict::None };
         }
         if self.terms.mode == VoteMode::Clocked {
             return if self.enough && self.pi > DOUBT { Verdict::Hold } else { Verdict::None };
         }
         let fit = since_start >= SETTLE && self.pi <= DOUBT;
-        // Nothing is capped any more and the earlier ones still stand by: the trial carries nearly all first.
-        let rehearses = fit && (self.enough || self.rehearsed.is_some()) && news.cap >= 1.0;
+        // Nothing is capped any more: the trial carries nearly all for a while before it is released.
+        let rehearses = fit && news.cap >= 1.0 && (self.enough || self.rehearsed.is_some());
         if rehearses && self.rehearsed.is_none() {
             // What it did under less load counts no more.
             s.arms[SCORE].fill(Arm::default());
         }
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
-        // The further it has come, the more a wrong step costs, and one vote of the least informed is enough.
-        let patience = FEW_PATIENCE * f64::from(news.stage + 1);
         let heard = match self.rehearsed {
             Some(since) => self.enough && now - since >= if self.alone { SETTLE } else { REHEARSAL },
-            None => self.enough || since_start >= patience,
+            // The further it has come, the more a wrong step costs, and one vote of the least informed is enough.
+            None => self.enough || since_start >= FEW_PATIENCE * f64::from(news.stage + 1),
         };
         if fit && heard && !self.unwell { Verdict::On } else { Verdict::None }
     }
 
     /// Casts, renews, repeats or takes back the one vote of this gateway.
     fn cast(&mut self, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Vec<Action>) {
-        let wanted = (news.build, news.stage, verdict);
-        let last = self.vote.filter(|last| last.0 == news.build);
+        let (build, stage) = (news.build, news.stage);
+        let wanted = (build, stage, verdict);
         let on_trial = news.phase == Phase::OnTrial;
+        let last = self.vote.filter(|last| last.0 == build);
         let due = match last {
             None => verdict != Verdict::None,
-            Some(last) if last != wanted => verdict != Verdict::None || (on_trial && last.1 == news.stage),
+            Some(last) if last != wanted => verdict != Verdict::None || (on_trial && last.1 == stage),
             _ if verdict == Verdict::None => false,
             _ => now - self.voted >= if self.stands { self.terms.stands / 2.0 } else { VOTE_AGAIN },
         };
-        if !due {
-            return;
-        }
-        let (build, stage, pi, n) = (news.build, news.stage, self.pi, self.outcomes);
-        if last != Some(wanted) {
-            let what =
-                format!("vote {verdict:?} on build {build} stage {stage}: pi {pi:.3}, {n:.0} outcomes");
-            out.push(Action::Log(what));
+        if due {
+            (self.vote, self.voted, self.stands) = (Some(wanted), now, true);
+            out.push(Action::Vote { build, stage, verdict });
+            if last != self.vote {
+                let by = format!("pi {:.3}, {:.0} outcomes", self.pi, self.outcomes);
+                out.push(Action::Log(format!("vote {verdict:?} on build {build} stage {stage}: {by}")));
+            }
         }
-        (self.vote, self.voted, self.stands) = (Some(wanted), now, true);
-        out.push(Action::Vote { build, stage, verdict });
     }
 }
 
+/// Whether this is a turn that spares the trial.
+fn spares(now: Ms) -> bool {
+    (now / SLOT).rem_euclid(2.0) >= 1.0
+}
+
 /// The list of instances and how each one does.
 #[derive(Default)]
 struct Fleet {
@@ -465,27 +436,22 @@
     servers: Servers,
     index: BTreeMap<String, usize>,
     ask_at: Option<Ms>,
-    /// Txns that came in, and their usual rate per warm instance and ms.
+    /// First tries that came in, their rate per ms and unit of capacity, and that rate over a longer time.
     arrivals: Times,
-    usual: f64,
-    /// Txns per ms and unit of capacity that a cold instance may be measured by.
     rate: f64,
-    surge: bool,
+    usual: f64,
 }
 
 impl Fleet {
     fn hear(&mut self, kind: ListKind, entries: &[Listing], now: Ms) {
-        match kind {
+        self.ask_at = match kind {
             // It does not say whether the watch stands: ask again soon, or the gateway is deemed told.
-            ListKind::Failed => self.ask_at = Some(now + ASK_AGAIN.min(self.terms.ask_within / 2.0)),
-            // A whole list leaves out what is gone.
-            ListKind::Changes => self.ask_at = None,
-            // A whole list leaves out what is gone; a cached one answers no call.
-            ListKind::Whole => {
-                self.ask_at = None;
-                self.servers.ready.fill(false);
-            }
-            ListKind::Cached => self.servers.ready.fill(false),
+            ListKind::Failed => Some(now + ASK_AGAIN.min(self.terms.ask_within / 2.0)),
+            ListKind::Cached => self.ask_at,
+            ListKind::Whole | ListKind::Changes => None,
+        };
+        if matches!(kind, ListKind::Whole | ListKind::Cached) {
+            self.servers.ready.fill(false);
         }
         for entry in entries {
             let s = &mut self.servers;
@@ -510,8 +476,8 @@
     /// The least share of its capacity that an instance has by now.
     fn warmth(&self, i: usize, now: Ms) -> f64 {
         let since = self.servers.since[i];
-        let age = if since > 0.0 { (now - since).max(0.0) } else { f64::INFINITY };
-        let way = if age >= self.cold.warm_up { 1.0 } else { age / self.cold.warm_up };
+        let warm = since <= 0.0 || now - since >= self.cold.warm_up;
+        let way = if warm { 1.0 } else { (now - since).max(0.0) / self.cold.warm_up };
         self.cold.from + (1.0 - self.cold.from) * way
     }
 
@@ -525,23 +491,16 @@
 
     /// Takes this gateway's txns per ms and unit of capacity: uneven traffic scales its part by itself.
     fn take_rate(&mut self, now: Ms) {
-        let warmth: Vec<f64> = self.ready().map(|i| self.warmth(i, now)).collect();
-        let rate =
-            self.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN / warmth.iter().sum::<f64>().max(1.0);
-        self.surge = self.usual > 0.0 && rate > SURGE * self.usual;
-        self.rate = if self.usual > 0.0 { rate.min(RATE_SURGE * self.usual) } else { rate };
-        if warmth.iter().filter(|warmth| **warmth >= 1.0).count() as f64 >= MOSTLY_WARM * warmth.len() as f64
-        {
-            self.usual += NEWEST * TICK / JUDGE_EVERY * (rate - self.usual);
-        }
+        let capacity: f64 = self.ready().map(|i| self.warmth(i, now)).sum();
+        self.rate = self.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN / capacity.max(1.0);
+        self.usual += NEWEST * TICK / JUDGE_EVERY * (self.rate - self.usual);
     }
 
     /// Many instances are dead, not slow: whatever suffers now, machines are the likelier cause.
     fn many_dead(&self, now: Ms) -> bool {
         let s = &self.servers;
         let dead = |i: &usize| s.aside_until[*i] > now && s.last_answer[*i] < now - DEAD_AFTER;
-        let all = self.ready().count();
-        self.ready().filter(dead).count() as f64 > DEAD_SHARE * all as f64
+        self.ready().filter(dead).count() as f64 > DEAD_SHARE * self.ready().count() as f64
     }
 
     /// The budget of a cold instance: its part of this gateway's own rate, and hardly any burst.
@@ -554,8 +513,7 @@
     fn leave_aside(&mut self, i: usize, why: &str, now: Ms, out: &mut Vec<Action>) {
         let s = &mut self.servers;
         if s.aside_until[i] <= now {
-            let wait = (ASIDE * f64::from(1u32 << s.aside_times[i].min(8))).min(ASIDE_MOST);
-            s.aside_until[i] = now + wait;
+            s.aside_until[i] = now + (ASIDE * f64::from(1u32 << s.aside_times[i].min(8))).min(ASIDE_MOST);
             s.aside_times[i] += 1;
             s.in_flight_cap[i] = 1.0;
             if s.aside_times[i] == 1 {
@@ -567,15 +525,14 @@
     /// What one ending tells of the instance; `queue`: its time against what is wanted.
     fn learn(&mut self, i: usize, ending: Ending, queue: f64, now: Ms, out: &mut Vec<Action>) {
         let s = &mut self.servers;
-        let error = ending == Ending::Error;
-        if error || ending == Ending::Settled {
+        let (error, settled) = (ending == Ending::Error, ending == Ending::Settled);
+        if error || settled {
             s.last_answer[i] = now;
             s.errors[i] += NEWEST * (f64::from(u8::from(error)) - s.errors[i]);
         }
         match ending {
             // Answers in good time open the instance further, late ones and refusals close it.
             Ending::Settled | Ending::TurnedAway | Ending::NoAnswer => {
-                let settled = ending == Ending::Settled;
                 let step = CAP_GAIN * (1.0 - if settled { queue.min(HEAVY) } else { HEAVY });
                 if settled {
                     s.aside_times[i] = 0;
@@ -627,23 +584,12 @@
         let count = products.len();
         // One vote of many that each look often: the chance of a wrong one is shared.
         let peeking = f64::from(place.gateways) / f64::from(votes.to_revert.max(1));
-        let delta = DELTA / peeking.max(1.0);
-        let aged_after = AGED_SPANS * cold.warm_up;
-        let ask_at = list.asked.then_some(0.0);
+        let (delta, base) = (DELTA / peeking.max(1.0), vec![Arm::default(); count]);
+        let (ask_at, arrivals) = (list.asked.then_some(0.0), vec![Times::default(); count]);
         Choice {
             fleet: Fleet { ask_at, terms: list, cold, ..Default::default() },
-            exposure: Exposure {
-                terms: exposure,
-                arrivals: vec![Times::default(); count],
-                ..Default::default()
-            },
-            judge: Judge {
-                terms: votes,
-                delta,
-                aged_after,
-                base: vec![Arm::default(); count],
-                ..Default::default()
-            },
+            exposure: Exposure { terms: exposure, arrivals, ..Default::default() },
+            judge: Judge { terms: votes, delta, base, ..Default::default() },
             typical: products.iter().map(|product| product.sla / 4.0).collect(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             zone: place.zone,
@@ -660,15 +606,12 @@
 
     /// The one entry: what happened since, in order, and what is to be done about it.
     pub fn decide(&mut self, now: Ms, news: Vec<Event>) -> Vec<Action> {
-        let mut tick = !self.ticking;
+        let mut tick = !std::mem::replace(&mut self.ticking, true);
         for event in news {
-            match event {
-                Event::Timer { .. } => tick = true,
-                event => self.hear(event, now),
-            }
+            tick |= matches!(event, Event::Timer { .. });
+            self.hear(event, now);
         }
         if tick {
-            self.ticking = true;
             self.out.push(Action::Wake { after: TICK, token: "tick".to_string() });
             self.look_round(now);
         }
@@ -681,8 +624,7 @@
             Event::Fleet { kind, entries, .. } => self.fleet.hear(kind, &entries, now),
             Event::Txn { id, product, key, left, work, repeat, .. } => {
                 let Some(product) = self.products.iter().position(|known| known.name == product) else {
-                    self.out.push(Action::Void { id });
-                    return;
+                    return self.out.push(Action::Void { id });
                 };
                 if !repeat {
                     // Clients that come again are no surge: failures feed them.
@@ -691,10 +633,8 @@
                 let (lane, keep) = (self.exposure.lane(product), 2.0 * self.exposure.terms.window);
                 self.exposure.arrivals[lane].note(now, keep);
                 self.resends = (self.resends + RESEND_SHARE).min(RESEND_SAVED);
-                let terms = &self.products[product];
-                let sla = terms.sla + terms.sla_stretch * work.unwrap_or(0.0);
-                let txn = Txn::new(product, key, work, now, left, sla);
-                self.txns.insert(id, txn);
+                let sla = self.products[product].sla_for(work);
+                self.txns.insert(id, Txn::new(product, key, work, now, left, sla));
                 self.waiting.push(id);
             }
             Event::Began { id, .. } => {
@@ -704,7 +644,7 @@
                 self.ended(id, submission as usize, ending, closed, took, now);
             }
             Event::ClientGone { id } => self.close(id),
-            Event::Stage(news) if news.valid => self.exposure.hear(&news),
+            Event::Stage(news) if news.valid => self.exposure.hear(news),
             Event::Stage(news) => self.judge.stands &= !news.answer || news.unsure,
             Event::Flagged { instance, .. } => {
                 let known = self.fleet.index.get(&instance);
@@ -720,12 +660,11 @@
         sub.ending = Some(ending);
         let (sub, txn) = (sub.clone(), &*txn);
         let servers = &mut self.fleet.servers;
-        let product = &self.products[txn.product];
         if servers.life[sub.server] == sub.life {
             servers.in_flight[sub.server] = servers.in_flight[sub.server].saturating_sub(1);
-            let sla = product.sla + product.sla_stretch * txn.work.unwrap_or(0.0);
+            let sla = self.products[txn.product].sla_for(txn.work);
             self.judge.learn(servers, &sub, txn, ending, took, sla);
-            let wanted = (QUEUE_SHARE * product.sla).max(2.0 * txn.work.unwrap_or(0.0));
+            let wanted = (QUEUE_SHARE * sla).max(2.0 * txn.work.unwrap_or(0.0));
             self.fleet.learn(sub.server, ending, took * sub.warmth / wanted, now, &mut self.out);
         }
         if ending == Ending::Settled {
@@ -745,44 +684,32 @@
         self.forget(id);
     }
 
-    /// Nothing more is sent for this txn; what is still out is called back.
-    fn close(&mut self, id: TxnId) {
-        let Some(txn) = self.txns.get_mut(&id) else { return };
-        txn.answered = true;
-        (0..txn.submissions.len()).for_each(|n| self.recall(id, n));
-        self.forget(id);
-    }
-
     /// Some instance could still get this txn, as far as the rules on repeats go.
     fn may_resend(&self, id: TxnId) -> bool {
         let txn = &self.txns[&id];
-        txn.submissions.len() < self.permits.submissions
-            && !(self.products[txn.product].effect == Effect::OnceOnly && txn.may_have_run().next().is_some())
+        let once = self.products[txn.product].effect == Effect::OnceOnly;
+        txn.submissions.len() < self.permits.submissions && !(once && txn.may_have_run().next().is_some())
     }
 
     /// The gate of all submissions: every rule that a send could break.
     fn admits(&self, txn: &Txn, i: usize, now: Ms) -> bool {
-        let s = &self.fleet.servers;
-        let product = &self.products[txn.product];
-        let alone = txn.outstanding() == 0 || self.permits.second_copies;
-        let repeatable = txn.may_have_run().all(|sub| match product.effect {
+        let (s, product) = (&self.fleet.servers, &self.products[txn.product]);
+        let dropped = |sub: &Submission| match product.group {
+            Group::All => true,
+            Group::Zone => sub.zone == s.zone[i],
+            Group::Cell => sub.cell == s.cell[i] && sub.zone == s.zone[i],
+        };
+        let repeatable = |sub: &Submission| match product.effect {
             Effect::InquiryLike => true,
             Effect::OnceOnly => false,
-            Effect::Referenced => {
-                let dropped = match product.group {
-                    Group::All => true,
-                    Group::Zone => sub.zone == s.zone[i],
-                    Group::Cell => sub.cell == s.cell[i] && sub.zone == s.zone[i],
-                };
-                dropped && now - sub.sent < product.remember - MARGIN
-            }
-        });
+            Effect::Referenced => dropped(sub) && now - sub.sent < product.remember - MARGIN,
+        };
         !txn.answered
             && !txn.streaming
             && now < txn.expires
             && txn.submissions.len() < self.permits.submissions
-            && alone
-            && repeatable
+            && (txn.outstanding() == 0 || self.permits.second_copies)
+            && txn.may_have_run().all(repeatable)
             && s.ready[i]
             && self.fleet.cold_room(i, now)
             && self.exposure.admits(txn, product.effect, s.build[i], self.fleet.lowest_build(), now)
@@ -797,9 +724,7 @@
         let s = &mut self.fleet.servers;
         let sub = s.submission(i, warmth, now);
         s.in_flight[i] += 1;
-        if warmth < 1.0 {
-            s.sends[i].note(now, 2.0 * self.fleet.cold.span);
-        }
+        s.sends[i].note(now, 2.0 * self.fleet.cold.span);
         self.out.push(Action::Submit { id, instance: s.id[i].clone(), limit: None });
         let lane = (sub.build, self.exposure.lane(txn.product));
         let keep = 2.0 * self.exposure.terms.window;
@@ -820,18 +745,22 @@
             Effect::Referenced if product.group == Group::All => true,
             _ => txn.may_have_run().next().is_none(),
         };
-        self.out.push(if harmless {
-            Action::Decline { id, come_back: self.permits.come_back.map(|most| product.sla.min(most)) }
-        } else {
-            Action::Void { id }
-        });
+        let come_back = self.permits.come_back.map(|most| product.sla.min(most));
+        self.out.push(if harmless { Action::Decline { id, come_back } } else { Action::Void { id } });
         self.close(id);
     }
 
+    /// Nothing more is sent for this txn; what is still out is called back.
+    fn close(&mut self, id: TxnId) {
+        let Some(txn) = self.txns.get_mut(&id) else { return };
+        txn.answered = true;
+        (0..txn.submissions.len()).for_each(|n| self.recall(id, n));
+        self.forget(id);
+    }
+
     fn recall(&mut self, id: TxnId, n: usize) {
         let Some(sub) = self.txns.get_mut(&id).and_then(|txn| txn.submissions.get_mut(n)) else { return };
-        if self.permits.recall && sub.ending.is_none() && !sub.recalled {
-            sub.recalled = true;
+        if self.permits.recall && sub.ending.is_none() && !std::mem::replace(&mut sub.recalled, true) {
             self.out.push(Action::Recall { id, submission: n as u32 });
         }
     }
@@ -842,21 +771,20 @@
         }
     }
 
-    /// Ready instances of the build on trial and of the earlier ones; the newest earlier build first.
+    /// Ready instances of the build on trial, and of the earlier ones.
     fn sides(&self) -> (Vec<usize>, Vec<usize>) {
-        let lowest = self.fleet.lowest_build();
-        let s = &self.fleet.servers;
+        let (lowest, s) = (self.fleet.lowest_build(), &self.fleet.servers);
         self.fleet.ready().partition(|i| self.exposure.on_trial(s.build[*i], lowest).is_some())
     }
 
     /// Two random choices on in-flight, per unit of capacity, among those that are open to the txn.
     fn pick(&mut self, id: TxnId, side: &[usize], now: Ms) -> Option<usize> {
-        let txn = &self.txns[&id];
-        let s = &self.fleet.servers;
-        let tried = |i: &usize| txn.submissions.iter().any(|sub| sub.server == *i);
+        let (txn, s) = (&self.txns[&id], &self.fleet.servers);
         let fits = |i: &usize| f64::from(s.in_flight[*i]) < s.in_flight_cap[*i] && self.admits(txn, *i, now);
         let mut open: Vec<usize> = side.iter().copied().filter(fits).collect();
-        for wish in [&(|i: &usize| s.aside_until[*i] <= now) as &dyn Fn(&usize) -> bool, &|i| !tried(i)] {
+        let well = |i: &usize| s.aside_until[*i] <= now;
+        let untried = |i: &usize| txn.submissions.iter().all(|sub| sub.server != *i);
+        for wish in [&well as &dyn Fn(&usize) -> bool, &untried] {
             if open.iter().any(wish) {
                 open.retain(wish);
             }
@@ -875,8 +803,7 @@
     }
 
     /// The top-two coin between the earlier and the trial build, then an instance.
-    fn place(&mut self, id: TxnId, sides: &(Vec<usize>, Vec<usize>), now: Ms) -> bool {
-        let (trial, earlier) = sides;
+    fn place(&mut self, id: TxnId, (trial, earlier): &(Vec<usize>, Vec<usize>), now: Ms) -> bool {
         let s = &self.fleet.servers;
         let per_server = |side: &[usize]| {
             side.iter().map(|i| f64::from(s.in_flight[*i])).sum::<f64>() / side.len().max(1) as f64
@@ -884,16 +811,16 @@
         let share = trial.len() as f64 / (trial.len() + earlier.len()).max(1) as f64;
         let going = self.exposure.news.as_ref().is_none_or(|news| news.phase != Phase::GoingBack)
             && !self.judge.withholds(now);
-        let parity = earlier.is_empty() || per_server(trial) <= per_server(earlier);
         let coin = self.rng.random::<f64>();
         let rehearses = self.judge.rehearsed.is_some() && coin < REHEARSED;
-        let trial_first = earlier.is_empty() || (going && (rehearses || coin < share.max(0.5) && parity));
+        let picked = coin < share.max(0.5) && per_server(trial) <= per_server(earlier);
+        let trial_first = earlier.is_empty() || (going && (rehearses || picked));
         // Released: the newest build of the earlier ones serves, the others are on their way out.
         let newest = earlier.iter().map(|i| s.build[*i]).max().unwrap_or(0);
         let newest: Vec<usize> = earlier.iter().copied().filter(|i| s.build[*i] == newest).collect();
         let order = if trial_first { [trial, &newest, earlier] } else { [&newest, earlier, trial] };
-        let picked = order.into_iter().find_map(|side| self.pick(id, side, now));
-        picked.is_some_and(|i| self.submit(id, i, now))
+        let found = order.into_iter().find_map(|side| self.pick(id, side, now));
+        found.is_some_and(|i| self.submit(id, i, now))
     }
 
     /// Sends what waits, the best paid and the newest first, for a queue served in order makes all of it late;
@@ -905,10 +832,8 @@
         let sides = self.sides();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|id| self.txns.get(id).is_some_and(|txn| !txn.answered));
-        let value = |id: &TxnId| self.products[self.txns[id].product].revenue;
-        let came = |id: &TxnId| self.txns[id].came;
-        waiting
-            .sort_by(|a, b| value(b).total_cmp(&value(a)).then(came(b).total_cmp(&came(a))).then(a.cmp(b)));
+        let rank = |id: &TxnId| (self.products[self.txns[id].product].revenue, self.txns[id].came);
+        waiting.sort_by(|a, b| rank(b).partial_cmp(&rank(a)).unwrap_or(Ordering::Equal).then(a.cmp(b)));
         for id in waiting {
             let txn = &self.txns[&id];
             let needs = self.typical[txn.product].max(txn.work.unwrap_or(0.0)) * NEEDED;
@@ -935,12 +860,11 @@
             let waits = |sub: &Submission| sub.ending.is_none() && now - sub.sent > patience;
             for (n, sub) in txn.submissions.iter().enumerate().filter(|(_, sub)| waits(sub)) {
                 let same = s.life[sub.server] == sub.life;
-                if same && s.last_answer[sub.server] >= sub.sent {
-                    continue;
-                }
-                silent[sub.server] += usize::from(same && now - sub.sent >= sla);
-                if !txn.answered && txn.outstanding() == 1 {
-                    stuck.push((*id, n));
+                if !same || s.last_answer[sub.server] < sub.sent {
+                    silent[sub.server] += usize::from(same && now - sub.sent >= sla);
+                    if !txn.answered && txn.outstanding() == 1 {
+                        stuck.push((*id, n));
+                    }
                 }
             }
             if !txn.answered && now >= txn.expires {
@@ -953,9 +877,11 @@
         over.into_iter().for_each(|id| self.answer(id));
         stuck.into_iter().for_each(|(id, n)| self.send_elsewhere(id, n, now));
         let (trial, earlier) = self.sides();
-        let sight = Sight { trial, earlier, dead: self.fleet.many_dead(now), surge: self.fleet.surge };
-        let (news, servers) = (self.exposure.news.as_ref(), &mut self.fleet.servers);
-        self.judge.judge(&mut self.rng, servers, sight, news, now, &mut self.out);
+        let surge = self.fleet.rate > SURGE * self.fleet.usual;
+        let sight = Sight { trial, earlier, dead: self.fleet.many_dead(now), surge, now };
+        if let Some(news) = &self.exposure.news {
+            self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.out);
+        }
     }
 
     /// A txn stuck at a silent instance: a second copy where permitted, else recalled to be sent again.
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,7 +139,7 @@
     pub aside_until: Vec<Ms>,
     pub aside_times: Vec<u32>,
     /// Arms by kind, then by instance.
-    pub arms: [Vec<Arm>; 5],
+    pub arms: [Vec<Arm>; 3],
     pub sends: Vec<Times>,
 }
 
