--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,13 +5,15 @@
 //! the seed. The ordinary path is FIESTA's top-two rule, see docs/design.md for what was added and why.
 
 use crate::api::*;
-use crate::state::{Arm, Servers, Submission, Times, Txn};
-use rand::{RngExt, SeedableRng};
+use crate::state::{Arm, Exposure, Fleet, Judge, PACE, RIGHT, SCORE, Servers, Sight, Submission, Times, Txn};
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_distr::{Distribution, StudentT};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
+type Out = Vec<Action>;
+
 const TICK: Ms = 10.0; // ms between looks at held and silent txns: a few of the finest batches
 const JUDGE_EVERY: Ms = 250.0; // ms between two judgements (design page)
 const DRAWS: u32 = 200; // draws per build for π (design page)
@@ -20,31 +22,27 @@
 const DELTA: f64 = 0.05; // chance of a wrong way back (design page), shared among all that may vote it alone
 const DOUBT: f64 = 0.8; // π of the earlier build above which nothing goes on (design page)
 const SURE_FOR: Ms = 1000.0; // ms that π must stay above 1 - δ (design page)
-const SOLO_SURE_FOR: Ms = 4000.0; // ms the same for one machine alone or amid dead ones: outlasts its own trouble
+const SOLO_SURE_FOR: Ms = 4000.0; // ms the same for few machines or amid dead ones, to outlast their trouble
 const GONE_SURE_FOR: Ms = 3000.0; // ms the same against the time before: outlasts a short burst
 const SETTLE: Ms = 3000.0; // ms after the newest trial start before going on (design page)
-const FEW_PATIENCE: Ms = 4000.0; // ms per stage, after that start, for which too few outcomes keep a trial waiting
+const FEW_PATIENCE: Ms = 4000.0; // ms per stage after that start in which too few outcomes make it wait
 const FADE_HALF: Ms = 4000.0; // ms in which an outcome's weight halves: long for power, short for late harm
 const FADE_FROM: f64 = 60.0; // outcomes on trial from which old ones fade: few are all there is to judge by
 const NOW_HALF: Ms = 1500.0; // ms the same for how the whole fleet does now
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
 const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
-const SCORE: usize = 0; // kinds of arms, and what is added for those of machines that ran a while
-const PACE: usize = 1;
-const RIGHT: usize = 2; // answers that were neither errors nor flagged
 const UNWELL_PACE: f64 = 0.26; // log of 1.3: the whole fleet is slower than before the trial
 const STEP_MARGIN: f64 = 0.1; // log of 1.1: earlier instances are quicker while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
 const COLLAPSE: f64 = 0.2; // the same that no good build costs, however loaded
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
-const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: hardly any delay, much told
+const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: costs little
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
 const SLOT: Ms = 1500.0; // ms of each turn, by the clock all gateways share, with or without the trial
-const TURN_OUTCOMES: f64 = 40.0; // outcomes in either kind of turn: a few turns' worth, for turns differ by themselves
+const TURN_OUTCOMES: f64 = 40.0; // outcomes in either kind of turn: a few turns' worth, as turns differ
 const SLOT_LEAD: f64 = 0.4; // share of a turn in which queues still tell of the turn before
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
 const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
-const SURGE: f64 = 1.4; // times the usual rate above which trouble is the clients'
 const BASE_FADE: f64 = 0.995; // weight kept per outcome of the time before: some hundreds count
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
 const FRESH_CAP: f64 = 2.0; // in flight at a fresh instance: one running, one to follow
@@ -56,7 +54,6 @@
 const HEAVY: f64 = 3.0; // times its usual or hinted time that a txn may take without suspicion
 const NEEDED: f64 = 0.5; // share of the usual time that must be left for a waiting txn to have a chance
 const SICK_ERRORS: f64 = 0.6; // share of errors of a sick machine; builds were never met that bad
-const WELL_ERRORS: f64 = 0.25; // share of errors of its like below which it is sick alone
 const ASIDE: Ms = 500.0; // ms that an instance is left aside at first, doubling
 const ASIDE_MOST: Ms = 4000.0; // ms that it is left aside at most: lost capacity costs too
 const RESEND_SHARE: f64 = 0.15; // further submissions per txn taken: more would feed an overload
@@ -70,15 +67,6 @@
 const VOTE_AGAIN: Ms = 500.0; // ms before a vote that did not count is repeated
 
 /// The rule on exposure: what each build on trial got, against what came in.
-#[derive(Default)]
-struct Exposure {
-    terms: ExposureTerms,
-    news: Option<StageNews>,
-    arrivals: Vec<Times>,
-    sends: BTreeMap<(Build, usize), Times>,
-    bound: BTreeMap<String, Build>,
-}
-
 impl Exposure {
     fn lane(&self, product: usize) -> usize {
         if self.terms.by_product { product } else { 0 }
@@ -90,9 +78,8 @@
         match &self.news {
             None => (build > lowest).then_some(first),
             Some(news) if build > news.build => Some(first),
-            Some(news) => {
-                (build == news.build && news.phase != Phase::Released).then_some((news.cap, news.stage))
-            }
+            Some(news) if build < news.build || news.phase == Phase::Released => None,
+            Some(news) => Some((news.cap, news.stage)),
         }
     }
 
@@ -114,9 +101,8 @@
             build > news.build
                 || (build == news.build && matches!(news.phase, Phase::OnTrial | Phase::Released))
         };
-        if let Some(key) =
-            key.as_ref().filter(|_| self.terms.no_return && self.news.as_ref().is_none_or(stands))
-        {
+        let binds = self.terms.no_return && self.news.as_ref().is_none_or(stands);
+        if let Some(key) = key.as_ref().filter(|_| binds) {
             let bound = self.bound.entry(key.clone()).or_insert(build);
             *bound = build.max(*bound);
         }
@@ -130,51 +116,7 @@
     }
 }
 
-/// What the gateway sees of its fleet when it judges.
-struct Sight {
-    trial: Vec<usize>,
-    earlier: Vec<usize>,
-    /// Many instances are dead, or clients send far more than usual: slowness then is not the build's.
-    dead: bool,
-    surge: bool,
-    now: Ms,
-}
-
 /// Judges builds and votes.
-#[derive(Default)]
-struct Judge {
-    terms: VoteTerms,
-    delta: f64,
-    judged: Ms,
-    /// The largest π against the trial, and the trial's outcomes behind it.
-    pi: f64,
-    outcomes: f64,
-    enough: bool,
-    sure_since: Option<Ms>,
-    /// The build now on trial, and the one last so.
-    trial: Option<Build>,
-    watched: Option<Build>,
-    released: Option<(Build, Ms)>,
-    rehearsed: Option<Ms>,
-    /// The build that was found bad: that verdict stays.
-    condemned: Option<Build>,
-    vote: Option<(Build, u32, Verdict)>,
-    voted: Ms,
-    stands: bool,
-    /// While no build was on trial: share in time, and mean log pace per product.
-    before: Arm,
-    base: Vec<Arm>,
-    /// Score and pace just now of the instances that are not on trial.
-    now: [Arm; 2],
-    unwell: bool,
-    /// No earlier instance answers any more.
-    alone: bool,
-    /// Pace of the earlier instances in turns with and without traffic on trial.
-    turns: [Arm; 2],
-    /// How right all answers were that the watched build did not give.
-    others: Arm,
-}
-
 impl Judge {
     /// Takes one outcome into the arms of its instance.
     fn learn(&mut self, s: &mut Servers, sub: &Submission, txn: &Txn, ending: Ending, took: Ms, sla: Ms) {
@@ -233,7 +175,7 @@
         }
     }
 
-    /// While all instances are slow, every other turn spares the trial: if that helps, the build is the cause.
+    /// While all are slow, every other turn spares the trial: if that helps, the build is the cause.
     fn withholds(&self, now: Ms) -> bool {
         self.unwell && self.trial.is_some() && spares(now)
     }
@@ -267,8 +209,8 @@
         if alone { pi } else { pi.min(Self::pi(rng, &old, &rest, handicap)) }
     }
 
-    /// The chance of fewer errors and flags than the watched build has, were it as right as the others: they are
-    /// too rare for a Gaussian posterior. The worst machine does not count where there are more.
+    /// The chance of fewer errors and flags than the watched build has, were it as right as the others:
+    /// they are too rare for a Gaussian posterior. The worst machine does not count where there are more.
     fn faults(&self, s: &Servers) -> f64 {
         let wrong = |arm: &Arm| arm.count * (1.0 - arm.mean);
         let of_build = |i: &usize| Some(s.build[*i]) == self.watched && s.arms[RIGHT][*i].count > 0.0;
@@ -278,16 +220,13 @@
         let answers: f64 = counted.iter().map(|arm| arm.count).sum();
         let faults: f64 = counted.iter().map(wrong).sum();
         let expected = answers * (wrong(&self.others) + 0.5) / self.others.count.max(1.0);
-        let (mut fewer, mut chance) = (0.0, (-expected).exp());
-        for k in 0..faults.round() as u32 {
-            fewer += chance;
-            chance *= expected / f64::from(k + 1);
-        }
-        fewer
+        let chances = (1..).scan((-expected).exp(), |chance, k| {
+            Some(std::mem::replace(chance, *chance * expected / f64::from(k)))
+        });
+        chances.take(faults.round() as usize).sum()
     }
 
-    /// Fades what is old, and begins all arms together when a build comes on trial, so that an earlier trouble
-    /// or calm counts for none.
+    /// Fades what is old; begins all arms together when a build comes on trial, lest earlier trouble count.
     fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms) {
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
         let of_trial = |i: &usize| Some(s.build[*i]) == trial;
@@ -304,8 +243,7 @@
 
     /// Judges the build on trial, or just released, every so often, and votes.
     fn judge(
-        &mut self, rng: &mut Pcg64Mcg, s: &mut Servers, mut sight: Sight, news: &StageNews,
-        out: &mut Vec<Action>,
+        &mut self, rng: &mut Pcg64Mcg, s: &mut Servers, mut sight: Sight, news: &StageNews, out: &mut Out,
     ) {
         let now = sight.now;
         if now - self.judged < JUDGE_EVERY {
@@ -338,16 +276,14 @@
             found.push((Self::pi_by(rng, &s.arms[SCORE], trial, earlier, 0.0), "score"));
             found.push((Self::pi_by(rng, &s.arms[PACE], trial, earlier, PACE_MARGIN), "pace"));
             if self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES) {
-                found.push((
-                    Self::pi(rng, &self.turns[1], &self.turns[0], STEP_MARGIN),
-                    "turns that spare it",
-                ));
+                let [with, without] = &self.turns;
+                found.push((Self::pi(rng, without, with, STEP_MARGIN), "turns that spare it"));
             }
         } else if full && !self.alone && !self.unwell {
-            // The build carries nearly all, so only the time before had a like load; the earlier ones, idle by
-            // now, tell by being well that nothing else has come over the fleet.
+            // The build carries nearly all, so only the time before had a like load; that the earlier ones,
+            // idle by now, are well tells that nothing else has come over the fleet.
             found.push((Self::pi(rng, &self.before, &scores, UNWELL_SCORE), "rehearsal"));
-        } else if (full || self.released.is_some()) && !sight.dead && !sight.surge {
+        } else if (full || self.released.is_some()) && !sight.dead {
             scores = if on_trial { scores } else { self.now[SCORE] };
             found.push((Self::pi(rng, &self.before, &scores, COLLAPSE), "collapse since the time before"));
         }
@@ -364,8 +300,8 @@
             (_, true) => SOLO_SURE_FOR,
             _ => SURE_FOR,
         };
-        if self.condemned != Some(news.build) && self.sure_since.is_some_and(|since| now - since >= sure_for)
-        {
+        let sure = self.sure_since.is_some_and(|since| now - since >= sure_for);
+        if self.condemned != Some(news.build) && sure {
             self.condemned = Some(news.build);
             let by = format!("pi {pi:.3} by {why}, {:.0} outcomes, {} on trial", scores.count, trial.len());
             let (build, stage) = (news.build, news.stage);
@@ -394,21 +330,20 @@
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
         let heard = match self.rehearsed {
             Some(since) => self.enough && now - since >= if self.alone { SETTLE } else { REHEARSAL },
-            // The further it has come, the more a wrong step costs, and one vote of the least informed is enough.
+            // The further it is, the more a wrong step costs, and one vote of the least informed is enough.
             None => self.enough || since_start >= FEW_PATIENCE * f64::from(news.stage + 1),
         };
         if fit && heard && !self.unwell { Verdict::On } else { Verdict::None }
     }
 
     /// Casts, renews, repeats or takes back the one vote of this gateway.
-    fn cast(&mut self, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Vec<Action>) {
+    fn cast(&mut self, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Out) {
         let (build, stage) = (news.build, news.stage);
         let wanted = (build, stage, verdict);
-        let on_trial = news.phase == Phase::OnTrial;
         let last = self.vote.filter(|last| last.0 == build);
         let due = match last {
             None => verdict != Verdict::None,
-            Some(last) if last != wanted => verdict != Verdict::None || (on_trial && last.1 == stage),
+            Some(last) if last != wanted => verdict != Verdict::None || last.1 == stage,
             _ if verdict == Verdict::None => false,
             _ => now - self.voted >= if self.stands { self.terms.stands / 2.0 } else { VOTE_AGAIN },
         };
@@ -429,19 +364,6 @@
 }
 
 /// The list of instances and how each one does.
-#[derive(Default)]
-struct Fleet {
-    terms: ListTerms,
-    cold: ColdStart,
-    servers: Servers,
-    index: BTreeMap<String, usize>,
-    ask_at: Option<Ms>,
-    /// First tries that came in, their rate per ms and unit of capacity, and that rate over a longer time.
-    arrivals: Times,
-    rate: f64,
-    usual: f64,
-}
-
 impl Fleet {
     fn hear(&mut self, kind: ListKind, entries: &[Listing], now: Ms) {
         self.ask_at = match kind {
@@ -450,9 +372,8 @@
             ListKind::Cached => self.ask_at,
             ListKind::Whole | ListKind::Changes => None,
         };
-        if matches!(kind, ListKind::Whole | ListKind::Cached) {
-            self.servers.ready.fill(false);
-        }
+        let whole = matches!(kind, ListKind::Whole | ListKind::Cached);
+        self.servers.ready.iter_mut().for_each(|ready| *ready &= !whole);
         for entry in entries {
             let s = &mut self.servers;
             let i = *self.index.entry(entry.instance.clone()).or_insert_with(|| s.add(entry));
@@ -465,7 +386,7 @@
         }
     }
 
-    fn ask(&mut self, now: Ms, out: &mut Vec<Action>) {
+    fn ask(&mut self, now: Ms, out: &mut Out) {
         if self.terms.asked && self.ask_at.is_some_and(|at| at <= now) {
             // Each call gets one answer; one that does not come is taken as lost.
             self.ask_at = Some(now + ASK_LOST);
@@ -493,7 +414,6 @@
     fn take_rate(&mut self, now: Ms) {
         let capacity: f64 = self.ready().map(|i| self.warmth(i, now)).sum();
         self.rate = self.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN / capacity.max(1.0);
-        self.usual += NEWEST * TICK / JUDGE_EVERY * (self.rate - self.usual);
     }
 
     /// Many instances are dead, not slow: whatever suffers now, machines are the likelier cause.
@@ -510,7 +430,7 @@
         warmth >= 1.0 || (sent + 1) as f64 <= COLD_BURST + self.rate * warmth * self.cold.span
     }
 
-    fn leave_aside(&mut self, i: usize, why: &str, now: Ms, out: &mut Vec<Action>) {
+    fn leave_aside(&mut self, i: usize, why: &str, now: Ms, out: &mut Out) {
         let s = &mut self.servers;
         if s.aside_until[i] <= now {
             s.aside_until[i] = now + (ASIDE * f64::from(1u32 << s.aside_times[i].min(8))).min(ASIDE_MOST);
@@ -523,7 +443,7 @@
     }
 
     /// What one ending tells of the instance; `queue`: its time against what is wanted.
-    fn learn(&mut self, i: usize, ending: Ending, queue: f64, now: Ms, out: &mut Vec<Action>) {
+    fn learn(&mut self, i: usize, ending: Ending, queue: f64, now: Ms, out: &mut Out) {
         let s = &mut self.servers;
         let (error, settled) = (ending == Ending::Error, ending == Ending::Settled);
         if error || settled {
@@ -534,23 +454,14 @@
             // Answers in good time open the instance further, late ones and refusals close it.
             Ending::Settled | Ending::TurnedAway | Ending::NoAnswer => {
                 let step = CAP_GAIN * (1.0 - if settled { queue.min(HEAVY) } else { HEAVY });
-                if settled {
-                    s.aside_times[i] = 0;
-                }
-                if step < 0.0 || f64::from(s.in_flight[i] + 1) >= s.in_flight_cap[i] / 2.0 {
-                    s.in_flight_cap[i] = (s.in_flight_cap[i] + step).clamp(1.0, MOST_CAP);
-                }
+                s.aside_times[i] *= u32::from(!settled);
+                let used = f64::from(s.in_flight[i] + 1) >= s.in_flight_cap[i] / 2.0;
+                let step = if used { step } else { step.min(0.0) };
+                s.in_flight_cap[i] = (s.in_flight_cap[i] + step).clamp(1.0, MOST_CAP);
             }
             Ending::NoConnection => self.leave_aside(i, "no connection", now, out),
             Ending::ConnectionLost => self.leave_aside(i, "connection lost", now, out),
-            Ending::Error if s.errors[i] > SICK_ERRORS => {
-                let s = &self.servers;
-                let like = |o: &usize| *o != i && s.build[*o] == s.build[i];
-                let others: Vec<f64> = self.ready().filter(like).map(|o| s.errors[o]).collect();
-                if others.iter().sum::<f64>() <= WELL_ERRORS * others.len() as f64 {
-                    self.leave_aside(i, "errors that its like don't have", now, out);
-                }
-            }
+            Ending::Error if s.errors[i] > SICK_ERRORS => self.leave_aside(i, "errors", now, out),
             _ => {}
         }
     }
@@ -626,8 +537,8 @@
                 let Some(product) = self.products.iter().position(|known| known.name == product) else {
                     return self.out.push(Action::Void { id });
                 };
+                // Clients that come again are no surge: failures feed them.
                 if !repeat {
-                    // Clients that come again are no surge: failures feed them.
                     self.fleet.arrivals.note(now, 2.0 * RATE_SPAN);
                 }
                 let (lane, keep) = (self.exposure.lane(product), 2.0 * self.exposure.terms.window);
@@ -789,16 +700,12 @@
                 open.retain(wish);
             }
         }
-        if open.is_empty() {
-            return None;
-        }
         let load = |i: usize| {
             let away = self.costs.cross_zone > 0.0 && s.zone[i] != self.zone;
             let bias = if away { CROSS_BIAS } else { 0.0 };
             (f64::from(s.in_flight[i]) + bias) / (s.weight[i] * self.fleet.warmth(i, now))
         };
-        let first = open[self.rng.random_range(0..open.len())];
-        let second = open[self.rng.random_range(0..open.len())];
+        let (first, second) = (*open.choose(&mut self.rng)?, *open.choose(&mut self.rng)?);
         Some(if load(second) < load(first) { second } else { first })
     }
 
@@ -823,12 +730,9 @@
         found.is_some_and(|i| self.submit(id, i, now))
     }
 
-    /// Sends what waits, the best paid and the newest first, for a queue served in order makes all of it late;
+    /// Sends what waits, best paid and newest first, as a queue served in order makes all of it late;
     /// gives up at once what can no longer be in time.
     fn serve_waiting(&mut self, now: Ms) {
-        if self.waiting.is_empty() {
-            return;
-        }
         let sides = self.sides();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|id| self.txns.get(id).is_some_and(|txn| !txn.answered));
@@ -877,8 +781,7 @@
         over.into_iter().for_each(|id| self.answer(id));
         stuck.into_iter().for_each(|(id, n)| self.send_elsewhere(id, n, now));
         let (trial, earlier) = self.sides();
-        let surge = self.fleet.rate > SURGE * self.fleet.usual;
-        let sight = Sight { trial, earlier, dead: self.fleet.many_dead(now), surge, now };
+        let sight = Sight { trial, earlier, dead: self.fleet.many_dead(now), now };
         if let Some(news) = &self.exposure.news {
             self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.out);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,9 @@
 //! Plain records that the decisions keep; no decisions here.
 
-use crate::api::{Build, Ending, Listing, Ms, Standing};
-use std::collections::VecDeque;
+use crate::api::{
+    Build, ColdStart, Ending, ExposureTerms, ListTerms, Listing, Ms, StageNews, Standing, Verdict, VoteTerms,
+};
+use std::collections::{BTreeMap, VecDeque};
 
 /// One submission of a txn.
 #[derive(Clone, Debug)]
@@ -120,6 +122,11 @@
     }
 }
 
+/// Kinds of arms: served in time, log of the pace, neither error nor flagged.
+pub const SCORE: usize = 0;
+pub const PACE: usize = 1;
+pub const RIGHT: usize = 2;
+
 /// Figures on instances, in parallel arrays under one dense index.
 #[derive(Clone, Debug, Default)]
 pub struct Servers {
@@ -194,3 +201,70 @@
         self.sends[i] = Times::default();
     }
 }
+
+/// The rule on exposure: what each build on trial got, against what came in.
+#[derive(Default)]
+pub struct Exposure {
+    pub terms: ExposureTerms,
+    pub news: Option<StageNews>,
+    pub arrivals: Vec<Times>,
+    pub sends: BTreeMap<(Build, usize), Times>,
+    pub bound: BTreeMap<String, Build>,
+}
+
+/// What the gateway sees of its fleet when it judges.
+pub struct Sight {
+    pub trial: Vec<usize>,
+    pub earlier: Vec<usize>,
+    /// Many instances are dead: slowness then is not the build's.
+    pub dead: bool,
+    pub now: Ms,
+}
+
+/// Judges builds and votes.
+#[derive(Default)]
+pub struct Judge {
+    pub terms: VoteTerms,
+    pub delta: f64,
+    pub judged: Ms,
+    /// The largest π against the trial, and the trial's outcomes behind it.
+    pub pi: f64,
+    pub outcomes: f64,
+    pub enough: bool,
+    pub sure_since: Option<Ms>,
+    /// The build now on trial, and the one last so.
+    pub trial: Option<Build>,
+    pub watched: Option<Build>,
+    pub released: Option<(Build, Ms)>,
+    pub rehearsed: Option<Ms>,
+    /// The build that was found bad: that verdict stays.
+    pub condemned: Option<Build>,
+    pub vote: Option<(Build, u32, Verdict)>,
+    pub voted: Ms,
+    pub stands: bool,
+    /// While no build was on trial: share in time, and mean log pace per product.
+    pub before: Arm,
+    pub base: Vec<Arm>,
+    /// Score and pace just now of the instances that are not on trial.
+    pub now: [Arm; 2],
+    pub unwell: bool,
+    /// No earlier instance answers any more.
+    pub alone: bool,
+    /// Pace of the earlier instances in turns with and without traffic on trial.
+    pub turns: [Arm; 2],
+    /// How right all answers were that the watched build did not give.
+    pub others: Arm,
+}
+
+/// The list of instances and how each one does.
+#[derive(Default)]
+pub struct Fleet {
+    pub terms: ListTerms,
+    pub cold: ColdStart,
+    pub servers: Servers,
+    pub index: BTreeMap<String, usize>,
+    pub ask_at: Option<Ms>,
+    /// First tries that came in, their rate per ms and unit of capacity.
+    pub arrivals: Times,
+    pub rate: f64,
+}
