--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,14 +33,15 @@
 const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
 const UNWELL_PACE: f64 = 0.26; // log of 1.3: the whole fleet is slower than before the trial
-const STEP_MARGIN: f64 = 0.1; // log of 1.1: earlier instances are quicker while the trial gets nothing
+const STEP_MARGIN: f64 = 0.15; // log of 1.16: earlier instances are that much quicker while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
 const COLLAPSE: f64 = 0.2; // the same that no good build costs, however loaded
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
 const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: costs little
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
 const SLOT: Ms = 1500.0; // ms of each turn, by the clock all gateways share, with or without the trial
-const TURN_OUTCOMES: f64 = 40.0; // outcomes in either kind of turn: a few turns' worth, as turns differ
+const TURN_OUTCOMES: f64 = 8.0; // outcomes in a turn for it to count
+const TURNS_IN_STEP: u32 = 3; // pairs of turns in a row that tell: one in dozens by chance, so few pauses pass
 const SLOT_LEAD: f64 = 0.4; // share of a turn in which queues still tell of the turn before
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
 const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
@@ -224,7 +225,7 @@
         let counted = &arms[..arms.len().saturating_sub(1).max(arms.len().min(1))];
         let answers: f64 = counted.iter().map(|arm| arm.count).sum();
         let faults: f64 = counted.iter().map(wrong).sum();
-        let expected = FAULT_MARGIN * answers * (wrong(&self.others) + 0.5) / self.others.count.max(1.0);
+        let expected = FAULT_MARGIN * answers * (wrong(&self.others) + 1.0) / self.others.count.max(1.0);
         let chances = (1..).scan((-expected).exp(), |chance, k| {
             Some(std::mem::replace(chance, *chance * expected / f64::from(k)))
         });
@@ -270,7 +271,13 @@
         let worse = below(score, self.before.mean - UNWELL_SCORE) || below(pace, -UNWELL_PACE);
         self.worse_at = if worse && !sight.dead { now } else { self.worse_at };
         // It lasts over the turns that spare the trial, or they would end it.
-        if !std::mem::replace(&mut self.unwell, now - self.worse_at < 2.0 * SLOT) {
+        self.unwell = now - self.worse_at < 2.0 * SLOT;
+        // After each pair of turns: a trouble that comes and goes by itself rarely keeps step several times.
+        let [with, without] = &self.turns;
+        if std::mem::replace(&mut self.spared, spares(now)) && !self.spared {
+            let helped =
+                with.count.min(without.count) >= TURN_OUTCOMES && without.mean - with.mean > STEP_MARGIN;
+            self.in_step = if helped && self.unwell { self.in_step + 1 } else { 0 };
             self.turns = Default::default();
         }
         let on_trial = self.trial == Some(news.build) && news.phase == Phase::OnTrial;
@@ -282,10 +289,7 @@
         if on_trial && !full {
             found.push((Self::pi_by(rng, &s.arms[SCORE], trial, earlier, 0.0), "score"));
             found.push((Self::pi_by(rng, &s.arms[PACE], trial, earlier, PACE_MARGIN), "pace"));
-            if self.turns.iter().all(|arm| arm.count >= TURN_OUTCOMES) {
-                let [with, without] = &self.turns;
-                found.push((Self::pi(rng, without, with, STEP_MARGIN), "turns that spare it"));
-            }
+            found.push((f64::from(u8::from(self.in_step >= TURNS_IN_STEP)), "turns that spare it"));
         } else if full && !self.alone && !self.unwell {
             // The build carries nearly all, so only the time before had a like load; that the earlier ones,
             // idle by now, are well tells that nothing else has come over the fleet.
--- a/src/state.rs
+++ b/src/state.rs
@@ -253,6 +253,8 @@
     pub alone: bool,
     /// Pace of the earlier instances in turns with and without traffic on trial.
     pub turns: [Arm; 2],
+    pub spared: bool,
+    pub in_step: u32,
     /// How right all answers were that the watched build did not give.
     pub others: Arm,
 }
