--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,6 +44,7 @@
 const TURNS_IN_STEP: u32 = 3; // pairs of turns in a row that tell: one in dozens by chance, so few pauses pass
 const SLOT_LEAD: f64 = 0.4; // share of a turn in which queues still tell of the turn before
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
+const LOST_FOR: Ms = 30_000.0; // ms that an instance gone from the list without a drain counts as dead
 const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
 const BASE_FADE: f64 = 0.995; // weight kept per outcome of the time before: some hundreds count
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
@@ -181,11 +182,6 @@
         }
     }
 
-    /// While all are slow, every other turn spares the trial: if that helps, the build is the cause.
-    fn withholds(&self, now: Ms) -> bool {
-        self.unwell && self.trial.is_some() && spares(now)
-    }
-
     /// The share of draws in which the first arm is best, even with a handicap.
     fn pi(rng: &mut Pcg64Mcg, first: &Arm, second: &Arm, handicap: f64) -> f64 {
         let posterior = |arm: &Arm| {
@@ -216,11 +212,12 @@
     }
 
     /// The chance of fewer errors and flags than the watched build has, were it as right as the others:
-    /// they are too rare for a Gaussian posterior. The worst machine does not count where there are more.
+    /// they are too rare for a Gaussian posterior. The worst machine does not count: it may be sick.
     fn faults(&self, s: &Servers) -> f64 {
         let wrong = |arm: &Arm| arm.count * (1.0 - arm.mean);
-        let of_build = |i: &usize| Some(s.build[*i]) == self.watched && s.arms[RIGHT][*i].count > 0.0;
+        let of_build = |i: &usize| Some(s.build[*i]) == self.watched && s.errors[*i] <= SICK_ERRORS;
         let mut arms: Vec<Arm> = (0..s.id.len()).filter(of_build).map(|i| s.arms[RIGHT][i]).collect();
+        arms.retain(|arm| arm.count > 0.0);
         arms.sort_by(|a, b| wrong(a).total_cmp(&wrong(b)));
         let counted = &arms[..arms.len().saturating_sub(1).max(arms.len().min(1))];
         let answers: f64 = counted.iter().map(|arm| arm.count).sum();
@@ -381,8 +378,10 @@
             ListKind::Cached => self.ask_at,
             ListKind::Whole | ListKind::Changes => None,
         };
-        let whole = matches!(kind, ListKind::Whole | ListKind::Cached);
-        self.servers.ready.iter_mut().for_each(|ready| *ready &= !whole);
+        let was = self.servers.ready.clone();
+        if matches!(kind, ListKind::Whole | ListKind::Cached) {
+            self.servers.ready.fill(false);
+        }
         for entry in entries {
             let s = &mut self.servers;
             let i = *self.index.entry(entry.instance.clone()).or_insert_with(|| s.add(entry));
@@ -393,6 +392,11 @@
             }
             s.relist(i, entry);
         }
+        for i in (0..was.len()).filter(|i| was[*i] && !self.servers.ready[*i]) {
+            let drains =
+                |entry: &Listing| self.index[&entry.instance] == i && entry.state == Standing::Draining;
+            self.servers.lost_at[i] = if entries.iter().any(drains) { f64::NEG_INFINITY } else { now };
+        }
     }
 
     fn ask(&mut self, now: Ms, out: &mut Out) {
@@ -427,11 +431,13 @@
         self.rate = rate.min(RATE_SURGE * self.usual);
     }
 
-    /// Many instances are dead, not slow: whatever suffers now, machines are the likelier cause.
+    /// Many instances are dead, or left the list without a drain: whatever suffers now, machines are the likelier cause.
     fn many_dead(&self, now: Ms) -> bool {
         let s = &self.servers;
+        let lost = |i: &usize| !s.ready[*i] && now - s.lost_at[*i] < LOST_FOR;
         let dead = |i: &usize| s.aside_until[*i] > now && s.last_answer[*i] < now - DEAD_AFTER;
-        self.ready().filter(dead).count() as f64 > DEAD_SHARE * self.ready().count() as f64
+        let gone = (0..s.id.len()).filter(lost).count();
+        (gone + self.ready().filter(dead).count()) as f64 > DEAD_SHARE * (gone + self.ready().count()) as f64
     }
 
     /// The budget of a cold instance: its part of this gateway's own rate, and hardly any burst.
@@ -724,8 +730,9 @@
             side.iter().map(|i| f64::from(s.in_flight[*i])).sum::<f64>() / side.len().max(1) as f64
         };
         let share = trial.len() as f64 / (trial.len() + earlier.len()).max(1) as f64;
-        let going = self.exposure.news.as_ref().is_none_or(|news| news.phase != Phase::GoingBack)
-            && !self.judge.withholds(now);
+        let back = self.exposure.news.as_ref().is_some_and(|news| news.phase == Phase::GoingBack);
+        // While all are slow, every other turn spares the trial: if that helps, the build is the cause.
+        let going = !back && !(self.judge.unwell && spares(now));
         let coin = self.rng.random::<f64>();
         let rehearses = self.judge.rehearsed.is_some() && coin < REHEARSED;
         let picked = coin < share.max(0.5) && per_server(trial) <= per_server(earlier);
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,6 +144,7 @@
     pub last_answer: Vec<Ms>,
     pub errors: Vec<f64>,
     pub aside_until: Vec<Ms>,
+    pub lost_at: Vec<Ms>,
     pub aside_times: Vec<u32>,
     /// Arms by kind, then by instance.
     pub arms: [Vec<Arm>; 3],
@@ -166,6 +167,7 @@
         self.last_answer.push(0.0);
         self.errors.push(0.0);
         self.aside_until.push(0.0);
+        self.lost_at.push(f64::NEG_INFINITY);
         self.aside_times.push(0);
         self.arms.iter_mut().for_each(|arms| arms.push(Arm::default()));
         self.sends.push(Times::default());
