--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,8 +22,7 @@
 const DELTA: f64 = 0.05; // chance of a wrong way back (design page), shared among all that may vote it alone
 const DOUBT: f64 = 0.8; // π of the earlier build above which nothing goes on (design page)
 const SURE_FOR: Ms = 1000.0; // ms that π must stay above 1 - δ (design page)
-const SOLO_SURE_FOR: Ms = 4000.0; // ms the same for few machines or amid dead ones, to outlast their trouble
-const GONE_SURE_FOR: Ms = 3000.0; // ms the same against the time before: outlasts a short burst
+const HARD_SURE_FOR: Ms = 4000.0; // ms the same where few machines or only the time before can tell
 const SETTLE: Ms = 3000.0; // ms after the newest trial start before going on (design page)
 const FEW_PATIENCE: Ms = 4000.0; // ms per stage after that start in which too few outcomes make it wait
 const FADE_HALF: Ms = 4000.0; // ms in which an outcome's weight halves: long for power, short for late harm
@@ -32,16 +31,14 @@
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
 const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
-const UNWELL_PACE: f64 = 0.26; // log of 1.3: the whole fleet is slower than before the trial
-const STEP_MARGIN: f64 = 0.15; // log of 1.16: earlier instances are that much quicker while the trial gets nothing
+const STEP_MARGIN: f64 = 0.15; // log of 1.16: earlier instances gain that much while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
 const COLLAPSE: f64 = 0.2; // the same that no good build costs, however loaded
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
 const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: costs little
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
 const SLOT: Ms = 1500.0; // ms of each turn, by the clock all gateways share, with or without the trial
-const TURN_OUTCOMES: f64 = 8.0; // outcomes in a turn for it to count
-const TURNS_IN_STEP: u32 = 3; // pairs of turns in a row that tell: one in dozens by chance, so few pauses pass
+const TURNS_IN_STEP: u32 = 3; // pairs of turns in a row that tell: few pauses keep step that long
 const SLOT_LEAD: f64 = 0.4; // share of a turn in which queues still tell of the turn before
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
 const LOST_FOR: Ms = 30_000.0; // ms that an instance gone from the list without a drain counts as dead
@@ -50,7 +47,6 @@
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
 const FRESH_CAP: f64 = 2.0; // in flight at a fresh instance: one running, one to follow
 const KNOWN_CAP: f64 = 4.0; // in flight at an instance met long started
-const MOST_CAP: f64 = 64.0; // in flight at the most
 const CAP_GAIN: f64 = 0.25; // how far one answer moves that cap
 const QUEUE_SHARE: f64 = 0.35; // mean share of the SLA time that answers may take before the cap falls
 const PATIENCE: f64 = 0.5; // share of the SLA time that a silent instance gets before a txn goes elsewhere
@@ -66,9 +62,8 @@
 const RATE_SPAN: Ms = 2000.0; // ms over which this gateway's own rate is taken
 const RATE_SURGE: f64 = 1.5; // times its usual rate that a burst may raise what cold instances get
 const CROSS_BIAS: f64 = 0.7; // in flight that an instance across zones counts extra, where crossing costs
-const ASK_AGAIN: Ms = 500.0; // ms before a failed call for the list is repeated
+const ASK_AGAIN: Ms = 500.0; // ms before a failed call for the list or a failed vote is repeated
 const ASK_LOST: Ms = 4000.0; // ms before an unanswered call is taken as lost
-const VOTE_AGAIN: Ms = 500.0; // ms before a vote that did not count is repeated
 
 impl Exposure {
     fn lane(&self, product: usize) -> usize {
@@ -77,10 +72,9 @@
 
     /// Cap and stage of a build on trial; one not announced yet counts as in the first stage.
     fn on_trial(&self, build: Build, lowest: Build) -> Option<(f64, u32)> {
-        let first = (self.terms.caps[0], 0);
         match &self.news {
-            None => (build > lowest).then_some(first),
-            Some(news) if build > news.build => Some(first),
+            None => (build > lowest).then_some((self.terms.caps[0], 0)),
+            Some(news) if build > news.build => Some((self.terms.caps[0], 0)),
             Some(news) if build < news.build || news.phase == Phase::Released => None,
             Some(news) => Some((news.cap, news.stage)),
         }
@@ -112,24 +106,19 @@
     }
 
     fn hear(&mut self, news: StageNews) {
-        if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
-            self.bound.retain(|_, build| *build != news.build);
-        }
+        let over = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
+        self.bound.retain(|_, build| !over || *build != news.build);
         self.news = Some(news);
     }
 }
 
 impl Judge {
-    /// Takes one outcome into the arms of its instance.
     fn learn(&mut self, s: &mut Servers, sub: &Submission, txn: &Txn, ending: Ending, took: Ms, sla: Ms) {
         let (i, settled) = (sub.server, ending == Ending::Settled);
         // A machine that is down, full or silent tells of itself, not of its build.
-        let heard = match ending {
-            Ending::Settled | Ending::Error => true,
-            Ending::NoAnswer => s.last_answer[i] >= sub.sent,
-            _ => false,
-        };
-        if settled || ending == Ending::Error {
+        let error = ending == Ending::Error;
+        let heard = settled || error || (ending == Ending::NoAnswer && s.last_answer[i] >= sub.sent);
+        if settled || error {
             s.arms[RIGHT][i].add(f64::from(u8::from(settled)));
             if self.watched != Some(sub.build) {
                 self.others.add(f64::from(u8::from(settled)));
@@ -207,8 +196,7 @@
         let harm = |i: &usize| arms[*i].count * (new.mean - arms[*i].mean);
         let worst = trial.iter().copied().max_by(|a, b| harm(a).total_cmp(&harm(b)));
         let rest = Arm::pool(arms, trial, worst);
-        let alone = pi <= DOUBT || rest.count < LEAST_OUTCOMES;
-        if alone { pi } else { pi.min(Self::pi(rng, &old, &rest, handicap)) }
+        if rest.count < LEAST_OUTCOMES { pi } else { pi.min(Self::pi(rng, &old, &rest, handicap)) }
     }
 
     /// The chance of fewer errors and flags than the watched build has, were it as right as the others:
@@ -220,9 +208,13 @@
         arms.retain(|arm| arm.count > 0.0);
         arms.sort_by(|a, b| wrong(a).total_cmp(&wrong(b)));
         let counted = &arms[..arms.len().saturating_sub(1).max(arms.len().min(1))];
-        let answers: f64 = counted.iter().map(|arm| arm.count).sum();
-        let faults: f64 = counted.iter().map(wrong).sum();
-        let expected = FAULT_MARGIN * answers * (wrong(&self.others) + 1.0) / self.others.count.max(1.0);
+        let (answers, faults) = (counted.iter().map(|arm| arm.count).sum(), counted.iter().map(wrong).sum());
+        Self::rare(answers, faults, self.others.count, wrong(&self.others))
+    }
+
+    /// The chance of fewer faults than these among so many, by the rate at the others.
+    fn rare(answers: f64, faults: f64, others: f64, their_faults: f64) -> f64 {
+        let expected = FAULT_MARGIN * answers * (their_faults + 1.0) / others.max(1.0);
         let chances = (1..).scan((-expected).exp(), |chance, k| {
             Some(std::mem::replace(chance, *chance * expected / f64::from(k)))
         });
@@ -239,7 +231,9 @@
         self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
         if trial != self.trial {
             (self.trial, self.sure_since, self.rehearsed) = (trial, None, None);
-            self.watched = trial.or(self.watched);
+            if trial.is_some() && trial != self.watched {
+                (self.watched, self.tallies) = (trial, Default::default());
+            }
             s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
         }
     }
@@ -264,8 +258,8 @@
         let below = |arm: &Arm, least: f64| {
             arm.count >= LEAST_OUTCOMES && arm.mean + 2.0 * arm.squares.sqrt() / arm.count < least
         };
-        let [score, pace] = &self.now;
-        let worse = below(score, self.before.mean - UNWELL_SCORE) || below(pace, -UNWELL_PACE);
+        let worse =
+            below(&self.now[SCORE], self.before.mean - UNWELL_SCORE) || below(&self.now[PACE], -PACE_MARGIN);
         self.worse_at = if worse && !sight.dead { now } else { self.worse_at };
         // It lasts over the turns that spare the trial, or they would end it.
         self.unwell = now - self.worse_at < 2.0 * SLOT;
@@ -273,7 +267,7 @@
         let [with, without] = &self.turns;
         if std::mem::replace(&mut self.spared, spares(now)) && !self.spared {
             let helped =
-                with.count.min(without.count) >= TURN_OUTCOMES && without.mean - with.mean > STEP_MARGIN;
+                with.count.min(without.count) >= LEAST_OUTCOMES && without.mean - with.mean > STEP_MARGIN;
             self.in_step = if helped && self.unwell { self.in_step + 1 } else { 0 };
             self.turns = Default::default();
         }
@@ -297,17 +291,18 @@
         }
         if on_trial || self.released.is_some() {
             found.push((self.faults(s), "errors and flags"));
+            if !sight.dead {
+                let [(others, their_faults), (answers, faults)] = self.tallies;
+                found.push((Self::rare(answers, faults, others, their_faults), "tallies"));
+            }
         }
         let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         (self.pi, self.outcomes) = (pi, scores.count);
         let compared = full || Arm::pool(&s.arms[SCORE], earlier, None).count >= LEAST_OUTCOMES;
         self.enough = on_trial && scores.count >= LEAST_OUTCOMES && compared;
         self.sure_since = if pi > 1.0 - self.delta { self.sure_since.or(Some(now)) } else { None };
-        let sure_for = match (self.alone || !on_trial, trial.len() < FEW_MACHINES || sight.dead) {
-            (true, _) => GONE_SURE_FOR,
-            (_, true) => SOLO_SURE_FOR,
-            _ => SURE_FOR,
-        };
+        let hard = self.alone || !on_trial || trial.len() < FEW_MACHINES || sight.dead;
+        let sure_for = if hard { HARD_SURE_FOR } else { SURE_FOR };
         let sure = self.sure_since.is_some_and(|since| now - since >= sure_for);
         if self.condemned != Some(news.build) && sure {
             self.condemned = Some(news.build);
@@ -321,17 +316,16 @@
 
     fn verdict(&mut self, s: &mut Servers, news: &StageNews, since_start: Ms, now: Ms) -> Verdict {
         if self.condemned == Some(news.build) {
-            let stands = matches!(news.phase, Phase::OnTrial | Phase::Released);
-            return if stands { Verdict::Back } else { Verdict::None };
+            let over = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
+            return if over { Verdict::None } else { Verdict::Back };
         }
         if self.terms.mode == VoteMode::Clocked {
             return if self.enough && self.pi > DOUBT { Verdict::Hold } else { Verdict::None };
         }
         let fit = since_start >= SETTLE && self.pi <= DOUBT;
-        // Nothing is capped any more: the trial carries nearly all for a while before it is released.
+        // Nothing is capped any more: the trial carries nearly all for a while, and only that counts.
         let rehearses = fit && news.cap >= 1.0 && (self.enough || self.rehearsed.is_some());
         if rehearses && self.rehearsed.is_none() {
-            // What it did under less load counts no more.
             s.arms[SCORE].fill(Arm::default());
         }
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
@@ -352,7 +346,7 @@
             None => verdict != Verdict::None,
             Some(last) if last != wanted => verdict != Verdict::None || last.1 == stage,
             _ if verdict == Verdict::None => false,
-            _ => now - self.voted >= if self.stands { self.terms.stands / 2.0 } else { VOTE_AGAIN },
+            _ => now - self.voted >= if self.stands { self.terms.stands / 2.0 } else { ASK_AGAIN },
         };
         if due {
             (self.vote, self.voted, self.stands) = (Some(wanted), now, true);
@@ -379,9 +373,8 @@
             ListKind::Whole | ListKind::Changes => None,
         };
         let was = self.servers.ready.clone();
-        if matches!(kind, ListKind::Whole | ListKind::Cached) {
-            self.servers.ready.fill(false);
-        }
+        let whole = matches!(kind, ListKind::Whole | ListKind::Cached);
+        self.servers.ready.iter_mut().for_each(|ready| *ready &= !whole);
         for entry in entries {
             let s = &mut self.servers;
             let i = *self.index.entry(entry.instance.clone()).or_insert_with(|| s.add(entry));
@@ -399,14 +392,6 @@
         }
     }
 
-    fn ask(&mut self, now: Ms, out: &mut Out) {
-        if self.terms.asked && self.ask_at.is_some_and(|at| at <= now) {
-            // Each call gets one answer; one that does not come is taken as lost.
-            self.ask_at = Some(now + ASK_LOST);
-            out.push(Action::Watch { on: true });
-        }
-    }
-
     /// The least share of its capacity that an instance has by now.
     fn warmth(&self, i: usize, now: Ms) -> f64 {
         let since = self.servers.since[i];
@@ -431,7 +416,7 @@
         self.rate = rate.min(RATE_SURGE * self.usual);
     }
 
-    /// Many instances are dead, or left the list without a drain: whatever suffers now, machines are the likelier cause.
+    /// Many instances are dead or left the list without a drain: machines are the likelier cause of trouble.
     fn many_dead(&self, now: Ms) -> bool {
         let s = &self.servers;
         let lost = |i: &usize| !s.ready[*i] && now - s.lost_at[*i] < LOST_FOR;
@@ -474,7 +459,7 @@
                 s.aside_times[i] *= u32::from(!settled);
                 let used = f64::from(s.in_flight[i] + 1) >= s.in_flight_cap[i] / 2.0;
                 let step = if used { step } else { step.min(0.0) };
-                s.in_flight_cap[i] = (s.in_flight_cap[i] + step).clamp(1.0, MOST_CAP);
+                s.in_flight_cap[i] = (s.in_flight_cap[i] + step).max(1.0);
             }
             Ending::NoConnection => self.leave_aside(i, "no connection", now, out),
             Ending::ConnectionLost => self.leave_aside(i, "connection lost", now, out),
@@ -484,7 +469,6 @@
     }
 }
 
-/// The decisions of one gateway.
 pub struct Choice {
     zone: String,
     products: Vec<Product>,
@@ -496,15 +480,13 @@
     judge: Judge,
     txns: BTreeMap<TxnId, Txn>,
     waiting: Vec<TxnId>,
-    /// Usual time of an answer, by product.
-    typical: Vec<Ms>,
+    typical: Vec<Ms>, // usual time of an answer, by product
     resends: f64,
     ticking: bool,
     out: Vec<Action>,
 }
 
 impl Choice {
-    #[allow(clippy::too_many_arguments)]
     pub fn new(
         seed: u64, place: Place, products: Vec<Product>, permits: Permits, list: ListTerms, cold: ColdStart,
         exposure: ExposureTerms, votes: VoteTerms, costs: Costs,
@@ -561,8 +543,8 @@
                 let (lane, keep) = (self.exposure.lane(product), 2.0 * self.exposure.terms.window);
                 self.exposure.arrivals[lane].note(now, keep);
                 self.resends = (self.resends + RESEND_SHARE).min(RESEND_SAVED);
-                let sla = self.products[product].sla_for(work);
-                self.txns.insert(id, Txn::new(product, key, work, now, left, sla));
+                let txn = Txn::new(product, key, work, now, left, self.products[product].sla_for(work));
+                self.txns.insert(id, txn);
                 self.waiting.push(id);
             }
             Event::Began { id, .. } => drop(self.txns.entry(id).and_modify(|txn| txn.streaming = true)),
@@ -576,7 +558,11 @@
                 let known = self.fleet.index.get(&instance);
                 known.into_iter().for_each(|i| self.judge.flag(&mut self.fleet.servers, *i));
             }
-            Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } | Event::Tally { .. } => {}
+            Event::Tally { build, count, failed, .. } => {
+                let (all, faults) = &mut self.judge.tallies[usize::from(self.judge.watched == Some(build))];
+                (*all, *faults) = (*all + count as f64, *faults + failed as f64);
+            }
+            Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
 
@@ -696,7 +682,6 @@
         }
     }
 
-    /// Ready instances of the build on trial, and of the earlier ones.
     fn sides(&self) -> (Vec<usize>, Vec<usize>) {
         let (lowest, s) = (self.fleet.lowest_build(), &self.fleet.servers);
         self.fleet.ready().partition(|i| self.exposure.on_trial(s.build[*i], lowest).is_some())
@@ -732,7 +717,7 @@
         let share = trial.len() as f64 / (trial.len() + earlier.len()).max(1) as f64;
         let back = self.exposure.news.as_ref().is_some_and(|news| news.phase == Phase::GoingBack);
         // While all are slow, every other turn spares the trial: if that helps, the build is the cause.
-        let going = !back && !(self.judge.unwell && spares(now));
+        let going = !(back || (self.judge.unwell && spares(now)));
         let coin = self.rng.random::<f64>();
         let rehearses = self.judge.rehearsed.is_some() && coin < REHEARSED;
         let picked = coin < share.max(0.5) && per_server(trial) <= per_server(earlier);
@@ -745,8 +730,7 @@
         found.is_some_and(|i| self.submit(id, i, now))
     }
 
-    /// Sends what waits, best paid and newest first, as a queue served in order makes all of it late;
-    /// gives up at once what can no longer be in time.
+    /// Sends what waits, newest first: in order all would be late. Gives up at once what can't be in time.
     fn serve_waiting(&mut self, now: Ms) {
         let sides = self.sides();
         let mut waiting = std::mem::take(&mut self.waiting);
@@ -767,7 +751,11 @@
 
     /// Every tick: the list, silent instances, txns near their expiry, and the judge.
     fn look_round(&mut self, now: Ms) {
-        self.fleet.ask(now, &mut self.out);
+        if self.fleet.terms.asked && self.fleet.ask_at.is_some_and(|at| at <= now) {
+            // Each call gets one answer; one that does not come is taken as lost.
+            self.fleet.ask_at = Some(now + ASK_LOST);
+            self.out.push(Action::Watch { on: true });
+        }
         self.fleet.take_rate(now);
         let (mut stuck, mut over) = (Vec::new(), Vec::new());
         let s = &self.fleet.servers;
--- a/src/state.rs
+++ b/src/state.rs
@@ -259,6 +259,8 @@
     pub in_step: u32,
     /// How right all answers were that the watched build did not give.
     pub others: Arm,
+    /// What the platform counted since then, all and failed: of the others, and of the watched build.
+    pub tallies: [(f64, f64); 2],
 }
 
 /// The list of instances and how each one does.
