--- a/src/choice.rs
+++ b/src/choice.rs
@@ -596,7 +596,6 @@
         self.forget(id);
     }
 
-    /// Some instance could still get this txn, as far as the rules on repeats go.
     fn may_resend(&self, id: TxnId) -> bool {
         let txn = &self.txns[&id];
         let once = self.products[txn.product].effect == Effect::OnceOnly;
@@ -690,14 +689,15 @@
     /// Two random choices on in-flight, per unit of capacity, among those that are open to the txn.
     fn pick(&mut self, id: TxnId, side: &[usize], now: Ms) -> Option<usize> {
         let (txn, s) = (&self.txns[&id], &self.fleet.servers);
-        let fits = |i: &usize| f64::from(s.in_flight[*i]) < s.in_flight_cap[*i] && self.admits(txn, *i, now);
-        let mut open: Vec<usize> = side.iter().copied().filter(fits).collect();
+        // Better to wait for one that is well than to use up a txn's submissions on those left aside.
         let well = |i: &usize| s.aside_until[*i] <= now;
+        let none = !self.fleet.ready().any(|i| well(&i));
+        let fits = |i: &usize| f64::from(s.in_flight[*i]) < s.in_flight_cap[*i] && (well(i) || none);
+        let mut open: Vec<usize> = side.iter().copied().filter(fits).collect();
+        open.retain(|i| self.admits(txn, *i, now));
         let untried = |i: &usize| txn.submissions.iter().all(|sub| sub.server != *i);
-        for wish in [&well as &dyn Fn(&usize) -> bool, &untried] {
-            if open.iter().any(wish) {
-                open.retain(wish);
-            }
+        if open.iter().any(untried) {
+            open.retain(untried);
         }
         let load = |i: usize| {
             let away = self.costs.cross_zone > 0.0 && s.zone[i] != self.zone;
