--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,6 +31,7 @@
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
 const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
+const CLUSTERS: f64 = 2.0; // times on top in tallies, which count time-outs: these come in clusters
 const STEP_MARGIN: f64 = 0.15; // log of 1.16: earlier instances gain that much while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
 const COLLAPSE: f64 = 0.2; // the same that no good build costs, however loaded
@@ -154,7 +155,6 @@
         }
     }
 
-    /// A client found an answer wrong: its score becomes 0.
     fn flag(&mut self, s: &mut Servers, i: usize) {
         s.arms[SCORE][i].zero_one();
         s.arms[RIGHT][i].zero_one();
@@ -293,7 +293,7 @@
             found.push((self.faults(s), "errors and flags"));
             if !sight.dead {
                 let [(others, their_faults), (answers, faults)] = self.tallies;
-                found.push((Self::rare(answers, faults, others, their_faults), "tallies"));
+                found.push((Self::rare(CLUSTERS * answers, faults, others, their_faults), "tallies"));
             }
         }
         let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
