--- a/src/choice.rs
+++ b/src/choice.rs
@@ -309,7 +309,9 @@
             let by = format!("pi {pi:.3} by {why}, {:.0} outcomes, {} on trial", scores.count, trial.len());
             out.push(Action::Log(format!("build {} found bad at stage {}: {by}", news.build, news.stage)));
         }
-        let since_start = if on_trial && !trial.is_empty() { now - newest } else { f64::NEG_INFINITY };
+        // A release takes the earlier machines away: not while many are dead and every one is needed.
+        let fit = on_trial && !trial.is_empty() && (!full || self.alone || !sight.dead);
+        let since_start = if fit { now - newest } else { f64::NEG_INFINITY };
         let verdict = self.verdict(s, news, since_start, now);
         self.cast(news, verdict, now, out);
     }
@@ -359,9 +361,8 @@
     }
 }
 
-/// Whether this is a turn that spares the trial.
 fn spares(now: Ms) -> bool {
-    (now / SLOT).rem_euclid(2.0) >= 1.0
+    (now / SLOT).rem_euclid(2.0) >= 1.0 // a turn that spares the trial
 }
 
 impl Fleet {
@@ -536,7 +537,6 @@
                 let Some(product) = self.products.iter().position(|known| known.name == product) else {
                     return self.out.push(Action::Void { id });
                 };
-                // Clients that come again are no surge: failures feed them.
                 if !repeat {
                     self.fleet.arrivals.note(now, 2.0 * RATE_SPAN);
                 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -322,6 +322,15 @@
     assert!(host.voted(2, Verdict::On));
 }
 
+#[rstest]
+fn no_release_takes_machines_away_while_many_are_dead() {
+    let mut host = trial(Terms::default(), 2, 1.0, well);
+    host.serve(1000.0, 2);
+    ["b8", "b9"].iter().for_each(|name| host.list(name, 2, Standing::Gone, 0.0));
+    host.serve(12_000.0, 2);
+    assert!(!host.voted(2, Verdict::On));
+}
+
 #[rstest]
 #[case::single(VoteMode::Single, Verdict::On)]
 #[case::majority(VoteMode::Majority, Verdict::On)]
