--- a/src/choice.rs
+++ b/src/choice.rs
@@ -163,7 +163,6 @@
         }
     }
 
-    /// A txn that found no room counts against the fleet as a whole.
     fn note_given_up(&mut self) {
         self.now[SCORE].add(0.0);
         if self.trial.is_none() && self.released.is_none() {
@@ -279,7 +278,10 @@
         let mut scores = Arm::pool(&s.arms[SCORE], trial, None);
         if on_trial && !full {
             found.push((Self::pi_by(rng, &s.arms[SCORE], trial, earlier, 0.0), "score"));
-            found.push((Self::pi_by(rng, &s.arms[PACE], trial, earlier, PACE_MARGIN), "pace"));
+            // A lone machine may well be slow by itself: only a second one can tell.
+            if trial.len() > 1 {
+                found.push((Self::pi_by(rng, &s.arms[PACE], trial, earlier, PACE_MARGIN), "pace"));
+            }
             found.push((f64::from(u8::from(self.in_step >= TURNS_IN_STEP)), "turns that spare it"));
         } else if full && !self.alone && !self.unwell {
             // The build carries nearly all, so only the time before had a like load; that the earlier ones,
@@ -339,7 +341,6 @@
         if fit && heard && !self.unwell { Verdict::On } else { Verdict::None }
     }
 
-    /// Casts, renews, repeats or takes back the one vote of this gateway.
     fn cast(&mut self, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Out) {
         let (build, stage) = (news.build, news.stage);
         let wanted = (build, stage, verdict);
@@ -752,7 +753,6 @@
     /// Every tick: the list, silent instances, txns near their expiry, and the judge.
     fn look_round(&mut self, now: Ms) {
         if self.fleet.terms.asked && self.fleet.ask_at.is_some_and(|at| at <= now) {
-            // Each call gets one answer; one that does not come is taken as lost.
             self.fleet.ask_at = Some(now + ASK_LOST);
             self.out.push(Action::Watch { on: true });
         }
