--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,7 @@
 //! the seed. The ordinary path is FIESTA's top-two rule, see docs/design.md for what was added and why.
 
 use crate::api::*;
-use crate::state::{Arm, Exposure, Fleet, Judge, PACE, RIGHT, SCORE, Servers, Sight, Submission, Times, Txn};
+use crate::state::*;
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_distr::{Distribution, StudentT};
 use rand_pcg::Pcg64Mcg;
@@ -54,16 +54,25 @@
 const HEAVY: f64 = 3.0; // times its usual or hinted time that a txn may take without suspicion
 const NEEDED: f64 = 1.0; // times its usual time that must be left for a waiting txn to be sent at all
 const SICK_ERRORS: f64 = 0.6; // share of errors of a sick machine; builds were never met that bad
+const SILENT: u32 = 2; // submissions without an answer, and none from any other, that tell of a dead machine
 const ASIDE: Ms = 500.0; // ms that an instance is left aside at first, doubling
 const ASIDE_MOST: Ms = 4000.0; // ms that it is left aside at most: lost capacity costs too
 const RESEND_SHARE: f64 = 0.15; // further submissions per txn taken: more would feed an overload
 const RESEND_SAVED: f64 = 10.0; // of these that may be saved up
 const MARGIN: Ms = 20.0; // ms kept from the ends of spans that rules set
-const COLD_BURST: f64 = 1.0; // submissions that a cold instance may get beyond its part of the rate
+const COLD_PART: f64 = 0.5; // share of a cold instance's budget that is used: arrivals may reach twice the capacity
 const RATE_SPAN: Ms = 2000.0; // ms over which this gateway's own rate is taken
 const RATE_SURGE: f64 = 1.5; // times its usual rate that a burst may raise what cold instances get
+const USUAL_SPAN: Ms = 2500.0; // ms over which the usual rate is taken
 const CROSS_BIAS: f64 = 0.7; // in flight that an instance across zones counts extra, where crossing costs
+const ASK_SPREAD: f64 = 0.2; // share of the time to ask within over which the first calls are spread
+const IDLE: f64 = 4.0; // times longer between judgements while there is nothing to judge
 const ASK_AGAIN: Ms = 500.0; // ms before a failed call for the list or a failed vote is repeated
+const VOTERS: f64 = 8.0; // gateways that vote at each look, of all that would: the platform's calls are few
+const SHED_ABOVE: f64 = 1.2; // times what is served in time that is let in, of a tenant that is served badly
+const SHED_HALF: Ms = 4000.0; // ms in which the weight of a txn there halves
+const SHED_DOUBT: f64 = 5.0; // txns served badly that halve nothing yet: a gateway may see few
+const STALL: Ms = 150.0; // ms that a timer may come late before this gateway's own times mean nothing
 const ASK_LOST: Ms = 4000.0; // ms before an unanswered call is taken as lost
 
 impl Exposure {
@@ -143,7 +152,7 @@
         let warm_time = took * sub.warmth;
         let pace = -(warm_time.max(0.1) / txn.work.map_or(1.0, |work| work.max(0.1))).ln();
         // What was called back took at least that long: sent elsewhere, slowness would leave no trace.
-        let overdue = ending == Ending::Recalled && pace < self.base[txn.product].mean - PACE_MARGIN;
+        let overdue = matches!(ending, Ending::Recalled | Ending::NoAnswer) && pace < self.base[txn.product].mean - PACE_MARGIN;
         if heard || (overdue && warm_time > sla) {
             learn(SCORE, f64::from(u8::from(settled && warm_time <= sla)), &mut self.before);
         }
@@ -315,7 +324,7 @@
         let fit = on_trial && !trial.is_empty() && (!full || self.alone || !sight.dead);
         let since_start = if fit { now - newest } else { f64::NEG_INFINITY };
         let verdict = self.verdict(s, news, since_start, now);
-        self.cast(news, verdict, now, out);
+        self.cast(rng, news, verdict, now, out);
     }
 
     fn verdict(&mut self, s: &mut Servers, news: &StageNews, since_start: Ms, now: Ms) -> Verdict {
@@ -341,7 +350,7 @@
         if fit && heard && !self.unwell { Verdict::On } else { Verdict::None }
     }
 
-    fn cast(&mut self, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Out) {
+    fn cast(&mut self, rng: &mut Pcg64Mcg, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Out) {
         let (build, stage) = (news.build, news.stage);
         let wanted = (build, stage, verdict);
         let last = self.vote.filter(|last| last.0 == build);
@@ -351,7 +360,8 @@
             _ if verdict == Verdict::None => false,
             _ => now - self.voted >= if self.stands { self.terms.stands / 2.0 } else { ASK_AGAIN },
         };
-        if due {
+        // One vote suffices where one is needed, and the platform takes few: gateways draw who votes.
+        if due && rng.random::<f64>() < self.voters {
             (self.vote, self.voted, self.stands) = (Some(wanted), now, true);
             out.push(Action::Vote { build, stage, verdict });
             if last != self.vote {
@@ -367,13 +377,19 @@
 }
 
 impl Fleet {
-    fn hear(&mut self, kind: ListKind, entries: &[Listing], now: Ms) {
+    fn hear(&mut self, rng: &mut Pcg64Mcg, kind: ListKind, entries: &[Listing], now: Ms) {
         self.ask_at = match kind {
             // It does not say whether the watch stands: ask again soon, or the gateway is deemed told.
-            ListKind::Failed => Some(now + ASK_AGAIN.min(self.terms.ask_within / 2.0)),
+            // Each failure in a row doubles the wait, at random: all gateways share one service.
+            ListKind::Failed => {
+                self.failures += 1;
+                let wait = ASK_AGAIN * f64::from(1u32 << self.failures.min(8)) * rng.random_range(0.5..1.0);
+                Some(now + wait.min(self.terms.ask_within / 2.0))
+            }
             ListKind::Cached => self.ask_at,
             ListKind::Whole | ListKind::Changes => None,
         };
+        self.failures *= u32::from(kind == ListKind::Failed);
         let was = self.servers.ready.clone();
         let whole = matches!(kind, ListKind::Whole | ListKind::Cached);
         self.servers.ready.iter_mut().for_each(|ready| *ready &= !whole);
@@ -384,6 +400,8 @@
             if s.life[i] == 0 || s.build[i] != entry.build || entry.since > s.since[i] + 1.0 {
                 // A fresh instance gets little at once; the cap grows with its answers.
                 s.begin_life(i, if entry.since > 0.0 { FRESH_CAP } else { KNOWN_CAP });
+                // By chance, so that of all gateways together few have a submission to spare at once.
+                s.cold_part[i] = rng.random();
             }
             s.relist(i, entry);
         }
@@ -392,6 +410,7 @@
                 |entry: &Listing| self.index[&entry.instance] == i && entry.state == Standing::Draining;
             self.servers.lost_at[i] = if entries.iter().any(drains) { f64::NEG_INFINITY } else { now };
         }
+        self.lowest = self.ready().map(|i| self.servers.build[i]).min().unwrap_or(0);
     }
 
     /// The least share of its capacity that an instance has by now.
@@ -406,16 +425,19 @@
         (0..self.servers.id.len()).filter(|i| self.servers.ready[*i])
     }
 
-    fn lowest_build(&self) -> Build {
-        self.ready().map(|i| self.servers.build[i]).min().unwrap_or(0)
-    }
-
-    /// Takes this gateway's txns per ms and unit of capacity: uneven traffic scales its part by itself.
-    fn take_rate(&mut self, now: Ms) {
+    /// Adds to what each cold instance may get: its part of this gateway's own rate per unit of capacity.
+    /// Summed over all gateways, however uneven, that is a fixed share of the budget.
+    fn fill_cold_parts(&mut self, now: Ms) {
+        let since = now - std::mem::replace(&mut self.filled, now);
         let capacity: f64 = self.ready().map(|i| self.warmth(i, now)).sum();
         let rate = self.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN / capacity.max(1.0);
-        self.usual += NEWEST * TICK / JUDGE_EVERY * (rate - self.usual);
-        self.rate = rate.min(RATE_SURGE * self.usual);
+        self.usual += (since / USUAL_SPAN).min(1.0) * (rate - self.usual);
+        let part = COLD_PART * self.cold.multiple * rate.min(RATE_SURGE * self.usual);
+        for i in 0..self.servers.id.len() {
+            let gain = part * self.warmth(i, now);
+            let most = 1.0 + gain * self.cold.span / 2.0;
+            self.servers.cold_part[i] = (self.servers.cold_part[i] + gain * since).min(most);
+        }
     }
 
     /// Many instances are dead or left the list without a drain: machines are the likelier cause of trouble.
@@ -427,11 +449,8 @@
         (gone + self.ready().filter(dead).count()) as f64 > DEAD_SHARE * (gone + self.ready().count()) as f64
     }
 
-    /// The budget of a cold instance: its part of this gateway's own rate, and hardly any burst.
     fn cold_room(&self, i: usize, now: Ms) -> bool {
-        let warmth = self.warmth(i, now);
-        let sent = self.servers.sends[i].since(now - self.cold.span);
-        warmth >= 1.0 || (sent + 1) as f64 <= COLD_BURST + self.rate * warmth * self.cold.span
+        self.warmth(i, now) >= 1.0 || self.servers.cold_part[i] >= 1.0
     }
 
     fn leave_aside(&mut self, i: usize, why: &str, now: Ms, out: &mut Out) {
@@ -451,10 +470,12 @@
         let s = &mut self.servers;
         let (error, settled) = (ending == Ending::Error, ending == Ending::Settled);
         if error || settled {
-            s.last_answer[i] = now;
+            (s.last_answer[i], s.silent[i]) = (now, 0);
             s.errors[i] += NEWEST * (f64::from(u8::from(error)) - s.errors[i]);
         }
+        s.silent[i] += u32::from(ending == Ending::NoAnswer);
         match ending {
+            Ending::NoAnswer if s.silent[i] >= SILENT => self.leave_aside(i, "silent", now, out),
             // Answers in good time open the instance further, late ones and refusals close it.
             Ending::Settled | Ending::TurnedAway | Ending::NoAnswer => {
                 let step = CAP_GAIN * (1.0 - if settled { queue.min(HEAVY) } else { HEAVY });
@@ -484,7 +505,12 @@
     waiting: Vec<TxnId>,
     typical: Vec<Ms>, // usual time of an answer, by product
     resends: f64,
-    ticking: bool,
+    service: BTreeMap<Option<String>, Service>, // by tenant
+    longest: Vec<Ms>, // time left to a first try, by product
+    look_at: Ms,
+    wake_at: Ms,
+    asked: bool,
+    stalled: Ms, // until when this gateway stood still
     out: Vec<Action>,
 }
 
@@ -497,11 +523,12 @@
         // One vote of many that each look often: the chance of a wrong one is shared.
         let peeking = f64::from(place.gateways) / f64::from(votes.to_revert.max(1));
         let (delta, base) = (DELTA / peeking.max(1.0), vec![Arm::default(); count]);
-        let (ask_at, arrivals) = (list.asked.then_some(0.0), vec![Times::default(); count]);
+        let needed = f64::from(votes.to_go.max(votes.to_pause).max(votes.to_revert).max(1));
+        let (voters, arrivals) = (VOTERS * needed / f64::from(place.gateways.max(1)), vec![Times::default(); count]);
         Choice {
-            fleet: Fleet { ask_at, terms: list, cold, ..Default::default() },
+            fleet: Fleet { terms: list, cold, ..Default::default() },
             exposure: Exposure { terms: exposure, arrivals, ..Default::default() },
-            judge: Judge { terms: votes, delta, base, ..Default::default() },
+            judge: Judge { terms: votes, delta, base, voters, ..Default::default() },
             typical: products.iter().map(|product| product.sla / 4.0).collect(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             zone: place.zone,
@@ -511,30 +538,72 @@
             txns: BTreeMap::new(),
             waiting: Vec::new(),
             resends: RESEND_SAVED,
-            ticking: false,
+            service: BTreeMap::new(),
+            longest: vec![0.0; count],
+            look_at: 0.0,
+            wake_at: f64::INFINITY,
+            asked: false,
+            stalled: f64::NEG_INFINITY,
             out: Vec::new(),
         }
     }
 
     /// The one entry: what happened since, in order, and what is to be done about it.
     pub fn decide(&mut self, now: Ms, news: Vec<Event>) -> Vec<Action> {
-        let mut tick = !std::mem::replace(&mut self.ticking, true);
+        // A gateway that stood still learns nothing from the times of what it had out.
+        if now > self.wake_at + STALL {
+            self.stalled = now;
+        }
         for event in news {
-            tick |= matches!(event, Event::Timer { .. });
             self.hear(event, now);
         }
-        if tick {
-            self.out.push(Action::Wake { after: TICK, token: "tick".to_string() });
+        if self.fleet.terms.asked && self.fleet.ask_at.is_none() && !self.asked {
+            // All start at once, and the list serves them in turn.
+            self.asked = true;
+            self.fleet.ask_at = Some(now + self.rng.random_range(0.0..ASK_SPREAD * self.fleet.terms.ask_within));
+        }
+        if self.look_at <= now {
             self.look_round(now);
         }
         self.serve_waiting(now);
+        let due = self.next_look(now);
+        self.look_at = self.look_at.min(due);
+        if self.look_at < self.wake_at || self.wake_at <= now {
+            self.wake_at = self.look_at;
+            self.out.push(Action::Wake { after: (self.look_at - now).max(0.0), token: "look".to_string() });
+        }
         std::mem::take(&mut self.out)
     }
 
+    /// When there is something to look at without news: idle gateways rest.
+    fn next_look(&self, now: Ms) -> Ms {
+        let judged = if self.judge.trial.is_some() || self.judge.released.is_some() { 1.0 } else { IDLE };
+        let asks = self.fleet.ask_at.unwrap_or(f64::INFINITY);
+        let txns = if self.waiting.is_empty() { 0 } else { 1 };
+        let first = now + if txns > 0 { TICK } else { judged * JUDGE_EVERY };
+        let open = self.txns.values().filter(|txn| !txn.streaming);
+        let next = open.map(|txn| self.due(txn, now)).fold(first.min(asks), f64::min);
+        next.max(now + TICK)
+    }
+
+    /// When a txn is next to be looked at: a submission out for too long, or its expiry.
+    fn due(&self, txn: &Txn, now: Ms) -> Ms {
+        let patience = self.patience(txn);
+        let out = txn.submissions.iter().filter(|sub| sub.ending.is_none());
+        let stuck = out.map(|sub| sub.sent + patience).filter(|at| *at > now);
+        stuck.fold(if txn.answered { f64::INFINITY } else { txn.expires }, f64::min)
+    }
+
+    fn patience(&self, txn: &Txn) -> Ms {
+        let usual = self.typical[txn.product].max(txn.work.unwrap_or(0.0));
+        let sla = self.products[txn.product].sla;
+        (PATIENCE * sla).max(HEAVY * usual).min(sla)
+    }
+
     fn hear(&mut self, event: Event, now: Ms) {
         match event {
-            Event::Fleet { kind, entries, .. } => self.fleet.hear(kind, &entries, now),
-            Event::Txn { id, product, key, left, work, repeat, .. } => {
+            Event::Fleet { kind, entries, .. } => self.fleet.hear(&mut self.rng, kind, &entries, now),
+            Event::Txn { id, product, tenant, key, left, work, repeat, .. } => {
                 let Some(product) = self.products.iter().position(|known| known.name == product) else {
                     return self.out.push(Action::Void { id });
                 };
@@ -544,15 +613,29 @@
                 let (lane, keep) = (self.exposure.lane(product), 2.0 * self.exposure.terms.window);
                 self.exposure.arrivals[lane].note(now, keep);
                 self.resends = (self.resends + RESEND_SHARE).min(RESEND_SAVED);
-                let txn = Txn::new(product, key, work, now, left, self.products[product].sla_for(work));
-                self.txns.insert(id, txn);
+                // Less time than a first try gets: a repeat, whose SLA time began with the first.
+                let usual = self.longest[product].max(left);
+                self.longest[product] = usual;
+                let known = &self.products[product];
+                let sla = known.sla_for(work);
+                let late = repeat && left < usual - MARGIN && left >= sla;
+                let sla = if late { (sla - (known.expiry - left)).max(0.0) } else { sla };
+                let shed = self.service.get_mut(&tenant).is_some_and(|service| {
+                    service.fade(now, SHED_HALF);
+                    let lost = service.came - SHED_ABOVE * service.in_time;
+                    self.rng.random::<f64>() < lost / (service.came + SHED_DOUBT)
+                });
+                self.txns.insert(id, Txn::new(product, tenant, key, work, now, left, sla));
+                if shed {
+                    return self.answer(id, now);
+                }
                 self.waiting.push(id);
             }
             Event::Began { id, .. } => drop(self.txns.entry(id).and_modify(|txn| txn.streaming = true)),
             Event::Ended { id, submission, ending, closed, took, .. } => {
                 self.ended(id, submission as usize, ending, closed, took, now);
             }
-            Event::ClientGone { id } => self.close(id),
+            Event::ClientGone { id } => self.close(id, false, now),
             Event::Stage(news) if news.valid => self.exposure.hear(news),
             Event::Stage(news) => self.judge.stands &= !news.answer || news.unsure,
             Event::Flagged { instance, .. } => {
@@ -573,8 +656,11 @@
         sub.ending = Some(ending);
         let (sub, txn) = (sub.clone(), &*txn);
         let servers = &mut self.fleet.servers;
-        if servers.life[sub.server] == sub.life {
+        let same = servers.life[sub.server] == sub.life;
+        if same {
             servers.in_flight[sub.server] = servers.in_flight[sub.server].saturating_sub(1);
+        }
+        if same && sub.sent >= self.stalled {
             let sla = self.products[txn.product].sla_for(txn.work);
             self.judge.learn(servers, &sub, txn, ending, took, sla);
             let wanted = (QUEUE_SHARE * sla).max(2.0 * txn.work.unwrap_or(0.0));
@@ -586,10 +672,11 @@
             self.exposure.note_answer(&txn.key, sub.build);
         }
         if closed {
-            self.close(id);
+            let in_time = ending == Ending::Settled && now <= txn.in_time;
+            self.close(id, in_time, now);
         } else if !txn.answered && txn.outstanding() == 0 && !txn.streaming {
-            if now >= txn.expires - TICK || !self.may_resend(id) {
-                self.answer(id);
+            if now >= txn.in_time - MARGIN || !self.may_resend(id) {
+                self.answer(id, now);
             } else if !self.waiting.contains(&id) {
                 self.waiting.push(id);
             }
@@ -624,7 +711,7 @@
             && txn.may_have_run().all(repeatable)
             && s.ready[i]
             && self.fleet.cold_room(i, now)
-            && self.exposure.admits(txn, product.effect, s.build[i], self.fleet.lowest_build(), now)
+            && self.exposure.admits(txn, product.effect, s.build[i], self.fleet.lowest, now)
     }
 
     fn submit(&mut self, id: TxnId, i: usize, now: Ms) -> bool {
@@ -636,8 +723,10 @@
         let s = &mut self.fleet.servers;
         let sub = s.submission(i, warmth, now);
         s.in_flight[i] += 1;
-        s.sends[i].note(now, 2.0 * self.fleet.cold.span);
-        self.out.push(Action::Submit { id, instance: s.id[i].clone(), limit: None });
+        s.cold_part[i] -= if warmth < 1.0 { 1.0 } else { 0.0 };
+        // What is late helps nobody: a limit lets servers drop it unbegun.
+        let limit = Some((txn.in_time - now).max(MARGIN));
+        self.out.push(Action::Submit { id, instance: s.id[i].clone(), limit });
         let (lane, keep) = ((sub.build, self.exposure.lane(txn.product)), 2.0 * self.exposure.terms.window);
         self.exposure.sends.entry(lane).or_default().note(now, keep);
         self.txns.entry(id).and_modify(|txn| txn.submissions.push(sub));
@@ -645,7 +734,7 @@
     }
 
     /// The gate of all final answers: declined where trying again is harmless, voided otherwise.
-    fn answer(&mut self, id: TxnId) {
+    fn answer(&mut self, id: TxnId, now: Ms) {
         let Some(txn) = self.txns.get(&id).filter(|txn| !txn.answered) else { return };
         if txn.submissions.is_empty() {
             self.judge.note_given_up();
@@ -658,13 +747,18 @@
         };
         let come_back = self.permits.come_back.map(|most| product.sla.min(most));
         self.out.push(if harmless { Action::Decline { id, come_back } } else { Action::Void { id } });
-        self.close(id);
+        self.close(id, false, now);
     }
 
     /// Nothing more is sent for this txn; what is still out is called back.
-    fn close(&mut self, id: TxnId) {
+    fn close(&mut self, id: TxnId, in_time: bool, now: Ms) {
         let Some(txn) = self.txns.get_mut(&id) else { return };
-        txn.answered = true;
+        if !std::mem::replace(&mut txn.answered, true) && txn.came >= self.stalled {
+            let service = self.service.entry(txn.tenant.clone()).or_default();
+            service.fade(now, SHED_HALF);
+            service.came += 1.0;
+            service.in_time += f64::from(u8::from(in_time));
+        }
         (0..txn.submissions.len()).for_each(|n| self.recall(id, n));
         self.forget(id);
     }
@@ -683,7 +777,7 @@
     }
 
     fn sides(&self) -> (Vec<usize>, Vec<usize>) {
-        let (lowest, s) = (self.fleet.lowest_build(), &self.fleet.servers);
+        let (lowest, s) = (self.fleet.lowest, &self.fleet.servers);
         self.fleet.ready().partition(|i| self.exposure.on_trial(s.build[*i], lowest).is_some())
     }
 
@@ -721,7 +815,9 @@
         let going = !(back || (self.judge.unwell && spares(now)));
         let coin = self.rng.random::<f64>();
         let rehearses = self.judge.rehearsed.is_some() && coin < REHEARSED;
-        let picked = coin < share.max(0.5) && per_server(trial) <= per_server(earlier);
+        // Parity of less than a txn in flight at each instance tells little: the coin turns to the share.
+        let fair = share + (0.5 - share).max(0.0) * per_server(earlier).min(1.0);
+        let picked = coin < fair && per_server(trial) <= per_server(earlier);
         let trial_first = earlier.is_empty() || (going && (rehearses || picked));
         // Released: the newest build of the earlier ones serves, the others are on their way out.
         let newest = earlier.iter().map(|i| s.build[*i]).max().unwrap_or(0);
@@ -733,6 +829,10 @@
 
     /// Sends what waits, newest first: in order all would be late. Gives up at once what can't be in time.
     fn serve_waiting(&mut self, now: Ms) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        self.fleet.fill_cold_parts(now);
         let sides = self.sides();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|id| self.txns.get(id).is_some_and(|txn| !txn.answered));
@@ -742,9 +842,10 @@
             let txn = &self.txns[&id];
             let needs = self.typical[txn.product].max(txn.work.unwrap_or(0.0)) * NEEDED;
             let hopeless = now + needs > txn.in_time || now >= txn.expires - TICK;
-            match self.place(id, &sides, now) {
+            let gone = now >= txn.in_time - MARGIN;
+            match !gone && self.place(id, &sides, now) {
                 true => {}
-                false if hopeless => self.answer(id),
+                false if hopeless => self.answer(id, now),
                 false => self.waiting.push(id),
             }
         }
@@ -752,36 +853,28 @@
 
     /// Every tick: the list, silent instances, txns near their expiry, and the judge.
     fn look_round(&mut self, now: Ms) {
+        self.look_at = f64::INFINITY;
         if self.fleet.terms.asked && self.fleet.ask_at.is_some_and(|at| at <= now) {
             self.fleet.ask_at = Some(now + ASK_LOST);
             self.out.push(Action::Watch { on: true });
         }
-        self.fleet.take_rate(now);
         let (mut stuck, mut over) = (Vec::new(), Vec::new());
         let s = &self.fleet.servers;
-        let mut silent = vec![0; s.id.len()];
         for (id, txn) in self.txns.iter().filter(|(_, txn)| !txn.streaming) {
-            let sla = self.products[txn.product].sla;
-            let usual = self.typical[txn.product].max(txn.work.unwrap_or(0.0));
-            let patience = (PATIENCE * sla).max(HEAVY * usual).min(sla);
-            let waits = |sub: &Submission| sub.ending.is_none() && now - sub.sent > patience;
+            let patience = self.patience(txn);
+            let waits = |sub: &Submission| sub.ending.is_none() && now - sub.sent >= patience;
             for (n, sub) in txn.submissions.iter().enumerate().filter(|(_, sub)| waits(sub)) {
                 let same = s.life[sub.server] == sub.life;
-                if !same || s.last_answer[sub.server] < sub.sent {
-                    silent[sub.server] += usize::from(same && now - sub.sent >= sla);
-                    if !txn.answered && txn.outstanding() == 1 {
-                        stuck.push((*id, n));
-                    }
+                let silent = !same || s.last_answer[sub.server] < sub.sent;
+                if silent && !txn.answered && txn.outstanding() == 1 {
+                    stuck.push((*id, n));
                 }
             }
             if !txn.answered && now >= txn.expires {
                 over.push(*id);
             }
         }
-        for i in (0..silent.len()).filter(|i| silent[*i] >= 2) {
-            self.fleet.leave_aside(i, "silent", now, &mut self.out);
-        }
-        over.into_iter().for_each(|id| self.answer(id));
+        over.into_iter().for_each(|id| self.answer(id, now));
         stuck.into_iter().for_each(|(id, n)| self.send_elsewhere(id, n, now));
         let (trial, earlier) = self.sides();
         let sight = Sight { trial, earlier, dead: self.fleet.many_dead(now), now };
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct Txn {
     pub product: usize,
+    pub tenant: Option<String>,
     pub key: Option<String>,
     pub came: Ms,
     /// When the client gives up on this try.
@@ -38,10 +39,12 @@
 }
 
 impl Txn {
-    pub fn new(product: usize, key: Option<String>, work: Option<Ms>, now: Ms, left: Ms, sla: Ms) -> Txn {
+    pub fn new(
+        product: usize, tenant: Option<String>, key: Option<String>, work: Option<Ms>, now: Ms, left: Ms, sla: Ms,
+    ) -> Txn {
         let (submissions, streaming, answered) = (Vec::new(), false, false);
         let (came, expires, in_time) = (now, now + left, now + sla.min(left));
-        Txn { product, key, came, expires, in_time, work, submissions, streaming, answered }
+        Txn { product, tenant, key, came, expires, in_time, work, submissions, streaming, answered }
     }
 
     pub fn outstanding(&self) -> usize {
@@ -148,7 +151,10 @@
     pub aside_times: Vec<u32>,
     /// Arms by kind, then by instance.
     pub arms: [Vec<Arm>; 3],
-    pub sends: Vec<Times>,
+    /// Submissions in a row without an answer.
+    pub silent: Vec<u32>,
+    /// Submissions that a cold instance may still get from this gateway.
+    pub cold_part: Vec<f64>,
 }
 
 impl Servers {
@@ -170,7 +176,8 @@
         self.lost_at.push(f64::NEG_INFINITY);
         self.aside_times.push(0);
         self.arms.iter_mut().for_each(|arms| arms.push(Arm::default()));
-        self.sends.push(Times::default());
+        self.silent.push(0);
+        self.cold_part.push(0.0);
         self.id.len() - 1
     }
 
@@ -200,7 +207,7 @@
         self.aside_until[i] = 0.0;
         self.aside_times[i] = 0;
         self.arms.iter_mut().for_each(|arms| arms[i] = Arm::default());
-        self.sends[i] = Times::default();
+        self.silent[i] = 0;
     }
 }
 
@@ -244,6 +251,8 @@
     pub vote: Option<(Build, u32, Verdict)>,
     pub voted: Ms,
     pub stands: bool,
+    /// The chance that this gateway is one of those that vote.
+    pub voters: f64,
     /// While no build was on trial: share in time, and mean log pace per product.
     pub before: Arm,
     pub base: Vec<Arm>,
@@ -273,6 +282,26 @@
     pub ask_at: Option<Ms>,
     /// First tries that came in, their rate per ms and unit of capacity, and its running mean.
     pub arrivals: Times,
-    pub rate: f64,
     pub usual: f64,
+    /// When the parts of cold instances were last added to.
+    pub filled: Ms,
+    /// The lowest build on the list.
+    pub lowest: Build,
+    /// Calls for the list that failed in a row.
+    pub failures: u32,
+}
+
+/// How one tenant's txns are served, old ones faded.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Service {
+    pub came: f64,
+    pub in_time: f64,
+    pub at: Ms,
+}
+
+impl Service {
+    pub fn fade(&mut self, now: Ms, half: Ms) {
+        let share = 0.5f64.powf((now - self.at) / half);
+        (self.came, self.in_time, self.at) = (self.came * share, self.in_time * share, now);
+    }
 }
