--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,9 +69,11 @@
 const IDLE: f64 = 4.0; // times longer between judgements while there is nothing to judge
 const ASK_AGAIN: Ms = 500.0; // ms before a failed call for the list or a failed vote is repeated
 const VOTERS: f64 = 8.0; // gateways that vote at each look, of all that would: the platform's calls are few
-const SHED_ABOVE: f64 = 1.2; // times what is served in time that is let in, of a tenant that is served badly
+const SHED_BELOW: f64 = 0.8; // share of a tenant's txns served well under which some are declined at once
+const GOOD_LEFT: f64 = 0.5; // share of the SLA time left that counts as served well
 const SHED_HALF: Ms = 4000.0; // ms in which the weight of a txn there halves
-const SHED_DOUBT: f64 = 5.0; // txns served badly that halve nothing yet: a gateway may see few
+const SHED_DOUBT: f64 = 3.0; // txns taken as served well beforehand: a gateway may see few
+const ROUNDING: Ms = 1.0; // ms that a timer may come early
 const STALL: Ms = 150.0; // ms that a timer may come late before this gateway's own times mean nothing
 const ASK_LOST: Ms = 4000.0; // ms before an unanswered call is taken as lost
 
@@ -152,7 +154,8 @@
         let warm_time = took * sub.warmth;
         let pace = -(warm_time.max(0.1) / txn.work.map_or(1.0, |work| work.max(0.1))).ln();
         // What was called back took at least that long: sent elsewhere, slowness would leave no trace.
-        let overdue = matches!(ending, Ending::Recalled | Ending::NoAnswer) && pace < self.base[txn.product].mean - PACE_MARGIN;
+        let overdue = matches!(ending, Ending::Recalled | Ending::NoAnswer)
+            && pace < self.base[txn.product].mean - PACE_MARGIN;
         if heard || (overdue && warm_time > sla) {
             learn(SCORE, f64::from(u8::from(settled && warm_time <= sla)), &mut self.before);
         }
@@ -506,7 +509,7 @@
     typical: Vec<Ms>, // usual time of an answer, by product
     resends: f64,
     service: BTreeMap<Option<String>, Service>, // by tenant
-    longest: Vec<Ms>, // time left to a first try, by product
+    longest: Vec<Ms>,                           // time left to a first try, by product
     look_at: Ms,
     wake_at: Ms,
     asked: bool,
@@ -524,7 +527,8 @@
         let peeking = f64::from(place.gateways) / f64::from(votes.to_revert.max(1));
         let (delta, base) = (DELTA / peeking.max(1.0), vec![Arm::default(); count]);
         let needed = f64::from(votes.to_go.max(votes.to_pause).max(votes.to_revert).max(1));
-        let (voters, arrivals) = (VOTERS * needed / f64::from(place.gateways.max(1)), vec![Times::default(); count]);
+        let (voters, arrivals) =
+            (VOTERS * needed / f64::from(place.gateways.max(1)), vec![Times::default(); count]);
         Choice {
             fleet: Fleet { terms: list, cold, ..Default::default() },
             exposure: Exposure { terms: exposure, arrivals, ..Default::default() },
@@ -560,15 +564,16 @@
         if self.fleet.terms.asked && self.fleet.ask_at.is_none() && !self.asked {
             // All start at once, and the list serves them in turn.
             self.asked = true;
-            self.fleet.ask_at = Some(now + self.rng.random_range(0.0..ASK_SPREAD * self.fleet.terms.ask_within));
+            self.fleet.ask_at =
+                Some(now + self.rng.random_range(0.0..ASK_SPREAD * self.fleet.terms.ask_within));
         }
-        if self.look_at <= now {
+        if self.look_at <= now + ROUNDING {
             self.look_round(now);
         }
         self.serve_waiting(now);
         let due = self.next_look(now);
         self.look_at = self.look_at.min(due);
-        if self.look_at < self.wake_at || self.wake_at <= now {
+        if self.look_at < self.wake_at || self.wake_at <= now + ROUNDING {
             self.wake_at = self.look_at;
             self.out.push(Action::Wake { after: (self.look_at - now).max(0.0), token: "look".to_string() });
         }
@@ -622,8 +627,8 @@
                 let sla = if late { (sla - (known.expiry - left)).max(0.0) } else { sla };
                 let shed = self.service.get_mut(&tenant).is_some_and(|service| {
                     service.fade(now, SHED_HALF);
-                    let lost = service.came - SHED_ABOVE * service.in_time;
-                    self.rng.random::<f64>() < lost / (service.came + SHED_DOUBT)
+                    let good = (service.good + SHED_DOUBT) / (service.came + SHED_DOUBT);
+                    self.rng.random::<f64>() < 1.0 - good / SHED_BELOW
                 });
                 self.txns.insert(id, Txn::new(product, tenant, key, work, now, left, sla));
                 if shed {
@@ -635,7 +640,7 @@
             Event::Ended { id, submission, ending, closed, took, .. } => {
                 self.ended(id, submission as usize, ending, closed, took, now);
             }
-            Event::ClientGone { id } => self.close(id, false, now),
+            Event::ClientGone { id } => self.close(id, 0.0, now),
             Event::Stage(news) if news.valid => self.exposure.hear(news),
             Event::Stage(news) => self.judge.stands &= !news.answer || news.unsure,
             Event::Flagged { instance, .. } => {
@@ -672,8 +677,10 @@
             self.exposure.note_answer(&txn.key, sub.build);
         }
         if closed {
-            let in_time = ending == Ending::Settled && now <= txn.in_time;
-            self.close(id, in_time, now);
+            // Half the SLA time is good service; what barely makes it tells of queues that leave no room.
+            let left = (txn.in_time - now) / (txn.in_time - txn.came).max(1.0);
+            let good = if ending == Ending::Settled { (left / GOOD_LEFT).clamp(0.0, 1.0) } else { 0.0 };
+            self.close(id, good, now);
         } else if !txn.answered && txn.outstanding() == 0 && !txn.streaming {
             if now >= txn.in_time - MARGIN || !self.may_resend(id) {
                 self.answer(id, now);
@@ -747,17 +754,20 @@
         };
         let come_back = self.permits.come_back.map(|most| product.sla.min(most));
         self.out.push(if harmless { Action::Decline { id, come_back } } else { Action::Void { id } });
-        self.close(id, false, now);
+        self.close(id, 0.0, now);
     }
 
     /// Nothing more is sent for this txn; what is still out is called back.
-    fn close(&mut self, id: TxnId, in_time: bool, now: Ms) {
+    fn close(&mut self, id: TxnId, good: f64, now: Ms) {
         let Some(txn) = self.txns.get_mut(&id) else { return };
-        if !std::mem::replace(&mut txn.answered, true) && txn.came >= self.stalled {
+        if !std::mem::replace(&mut txn.answered, true)
+            && txn.came >= self.stalled
+            && !txn.submissions.is_empty()
+        {
             let service = self.service.entry(txn.tenant.clone()).or_default();
             service.fade(now, SHED_HALF);
             service.came += 1.0;
-            service.in_time += f64::from(u8::from(in_time));
+            service.good += good;
         }
         (0..txn.submissions.len()).for_each(|n| self.recall(id, n));
         self.forget(id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,7 +40,8 @@
 
 impl Txn {
     pub fn new(
-        product: usize, tenant: Option<String>, key: Option<String>, work: Option<Ms>, now: Ms, left: Ms, sla: Ms,
+        product: usize, tenant: Option<String>, key: Option<String>, work: Option<Ms>, now: Ms, left: Ms,
+        sla: Ms,
     ) -> Txn {
         let (submissions, streaming, answered) = (Vec::new(), false, false);
         let (came, expires, in_time) = (now, now + left, now + sla.min(left));
@@ -295,13 +296,13 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Service {
     pub came: f64,
-    pub in_time: f64,
+    pub good: f64,
     pub at: Ms,
 }
 
 impl Service {
     pub fn fade(&mut self, now: Ms, half: Ms) {
         let share = 0.5f64.powf((now - self.at) / half);
-        (self.came, self.in_time, self.at) = (self.came * share, self.in_time * share, now);
+        (self.came, self.good, self.at) = (self.came * share, self.good * share, now);
     }
 }
