--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,7 +16,8 @@
 
 const TICK: Ms = 10.0; // ms between looks at held and silent txns: a few of the finest batches
 const JUDGE_EVERY: Ms = 250.0; // ms between two judgements (design page)
-const DRAWS: u32 = 200; // draws per build for π (design page)
+const DRAWS: f64 = 200.0; // draws per build for π (design page)
+const MOST_DRAWS: f64 = 4000.0; // the same while the earlier build wins all
 const LEAST_OUTCOMES: f64 = 10.0; // outcomes per build before π means anything (design page)
 const SQUARES_FLOOR: f64 = 0.01; // least summed squared deviation per outcome (design page)
 const DELTA: f64 = 0.05; // chance of a wrong way back (design page), shared among all that may vote it alone
@@ -44,6 +45,10 @@
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
 const LOST_FOR: Ms = 30_000.0; // ms that an instance gone from the list without a drain counts as dead
 const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
+const LOOKS: f64 = 10.0; // looks at new tallies of one build, which share δ
+const TALLY_HALF: Ms = 8000.0; // ms in which the weight of tallies halves: several periods of few counts
+const TALLY_FADE: f64 = 0.9; // weight kept per tally of the time before
+const TALLY_WARM: f64 = 0.7; // capacity of the trial's instances from which tallies compare
 const BASE_FADE: f64 = 0.995; // weight kept per outcome of the time before: some hundreds count
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
 const FRESH_CAP: f64 = 2.0; // in flight at a fresh instance: one running, one to follow
@@ -70,7 +75,8 @@
 const ASK_AGAIN: Ms = 500.0; // ms before a failed call for the list or a failed vote is repeated
 const VOTERS: f64 = 8.0; // gateways that vote at each look, of all that would: the platform's calls are few
 const SHED_BELOW: f64 = 0.8; // share of a tenant's txns served well under which some are declined at once
-const GOOD_LEFT: f64 = 0.5; // share of the SLA time left that counts as served well
+const GOOD_LEFT: f64 = 0.6; // share of the SLA time left that counts as served well
+const REPEATS_SHED: f64 = 4.0; // times more of the repeats declined: clients repeat what was declined
 const SHED_HALF: Ms = 4000.0; // ms in which the weight of a txn there halves
 const SHED_DOUBT: f64 = 3.0; // txns taken as served well beforehand: a gateway may see few
 const ROUNDING: Ms = 1.0; // ms that a timer may come early
@@ -191,13 +197,15 @@
             t.map(|t| (arm.mean, spread, t))
         };
         let (Some(first), Some(second)) = (posterior(first), posterior(second)) else { return 0.5 };
-        let mut wins = 0.0;
-        for _ in 0..DRAWS {
+        let (mut wins, mut draws) = (0.0, 0.0);
+        // A δ shared among hundreds is finer than the usual draws tell: while all are won, draw on.
+        while draws < DRAWS || (wins >= draws && draws < MOST_DRAWS) {
             let one = first.0 - handicap + first.1 * first.2.sample(rng);
             let other = second.0 + second.1 * second.2.sample(rng);
             wins += if one > other { 1.0 } else { f64::from(u8::from(one == other)) * 0.5 };
+            draws += 1.0;
         }
-        wins / f64::from(DRAWS)
+        wins / draws
     }
 
     /// π by one kind of arm; a single machine far worse than the rest of its build does not count.
@@ -219,19 +227,49 @@
         arms.retain(|arm| arm.count > 0.0);
         arms.sort_by(|a, b| wrong(a).total_cmp(&wrong(b)));
         let counted = &arms[..arms.len().saturating_sub(1).max(arms.len().min(1))];
-        let (answers, faults) = (counted.iter().map(|arm| arm.count).sum(), counted.iter().map(wrong).sum());
-        Self::rare(answers, faults, self.others.count, wrong(&self.others))
+        let answers: f64 = counted.iter().map(|arm| arm.count).sum();
+        let faults = counted.iter().map(wrong).sum();
+        let rate = (wrong(&self.others) + 1.0) / self.others.count.max(1.0);
+        Self::rare(FAULT_MARGIN * answers * rate, faults)
     }
 
-    /// The chance of fewer faults than these among so many, by the rate at the others.
-    fn rare(answers: f64, faults: f64, others: f64, their_faults: f64) -> f64 {
-        let expected = FAULT_MARGIN * answers * (their_faults + 1.0) / others.max(1.0);
+    /// The chance of fewer faults than these where so many are expected.
+    fn rare(expected: f64, faults: f64) -> f64 {
         let chances = (1..).scan((-expected).exp(), |chance, k| {
             Some(std::mem::replace(chance, *chance * expected / f64::from(k)))
         });
         chances.take(faults.round() as usize).sum()
     }
 
+    /// Adds the tallies that came since: trial against earlier within each period and product, so that
+    /// neither their mix nor what comes over the fleet counts. All gateways hear the same.
+    fn weigh_tallies(&mut self, warmth: f64) {
+        let calm = self.trial.is_none() && self.released.is_none();
+        for (product, [old, new]) in self.tallies.iter_mut().enumerate() {
+            let (old, new) = (std::mem::take(old), std::mem::take(new));
+            let usual = &mut self.tallied_before[product];
+            if calm && old.count > 0.0 {
+                usual.fade(TALLY_FADE);
+                usual.merge(&Arm { count: old.count, mean: old.failed / old.count, squares: 0.0 });
+            }
+            self.tallied += new.count;
+            if new.count == 0.0 || warmth < TALLY_WARM {
+                continue;
+            }
+            let usual = if usual.count > 0.0 { usual.mean } else { 0.0 };
+            let alone = old.count < LEAST_OUTCOMES.min(new.count);
+            let rate = if alone { usual + COLLAPSE } else { (old.failed + 1.0) / (old.count + 1.0) };
+            self.tallied_faults += new.failed;
+            self.tallied_expected += rate * new.count;
+            let (ours, theirs) = (new.count - new.failed, old.count - old.failed);
+            if !alone && ours > 0.0 && theirs > 0.0 {
+                let count = ours * theirs / (ours + theirs) / CLUSTERS;
+                let mean = (old.time / (new.time * warmth)).ln();
+                self.tallied_pace.merge(&Arm { count, mean, squares: count });
+            }
+        }
+    }
+
     /// Fades what is old; begins all arms together when a build comes on trial, lest earlier trouble count.
     fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms) {
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
@@ -240,10 +278,15 @@
             s.arms[..RIGHT].iter_mut().flatten().for_each(|arm| arm.fade(half(FADE_HALF)));
         }
         self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
+        let share = half(TALLY_HALF);
+        self.tallied_pace.fade(share);
+        self.tallied_faults *= share;
+        self.tallied_expected *= share;
         if trial != self.trial {
             (self.trial, self.sure_since, self.rehearsed) = (trial, None, None);
             if trial.is_some() && trial != self.watched {
-                (self.watched, self.tallies) = (trial, Default::default());
+                self.watched = trial;
+                (self.tallied_pace, self.tallied_faults, self.tallied_expected) = Default::default();
             }
             s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
         }
@@ -258,6 +301,10 @@
             return;
         }
         self.refresh(s, sight.trial.first().map(|i| s.build[*i]), now - self.judged);
+        if (news.build, news.stage) != self.stage {
+            (self.stage, self.tallied) = ((news.build, news.stage), 0.0);
+        }
+        self.weigh_tallies(sight.warmth);
         self.judged = now;
         let newest = sight.trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
         let lives = |i: &usize| s.aside_until[*i] <= now || now - s.last_answer[*i] < DEAD_AFTER;
@@ -306,15 +353,23 @@
         if on_trial || self.released.is_some() {
             found.push((self.faults(s), "errors and flags"));
             if !sight.dead {
-                let [(others, their_faults), (answers, faults)] = self.tallies;
-                found.push((Self::rare(CLUSTERS * answers, faults, others, their_faults), "tallies"));
+                let expected = FAULT_MARGIN * self.tallied_expected / CLUSTERS;
+                found.push((Self::rare(expected, self.tallied_faults / CLUSTERS), "tallies"));
+                let even = Arm { count: 1e6, mean: 0.0, squares: 0.0 };
+                let pi = Self::pi(rng, &even, &self.tallied_pace, PACE_MARGIN);
+                found.push((pi, "times in tallies"));
             }
         }
+        // Tallies are the same for all: their δ is shared among looks, not among gateways.
+        let sure_of =
+            |pi: f64, why: &str| pi > 1.0 - if why.contains("tallies") { DELTA / LOOKS } else { self.delta };
+        let is_sure = found.iter().any(|(pi, why)| sure_of(*pi, why));
         let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         (self.pi, self.outcomes) = (pi, scores.count);
         let compared = full || Arm::pool(&s.arms[SCORE], earlier, None).count >= LEAST_OUTCOMES;
-        self.enough = on_trial && scores.count >= LEAST_OUTCOMES && compared;
-        self.sure_since = if pi > 1.0 - self.delta { self.sure_since.or(Some(now)) } else { None };
+        let own = scores.count >= LEAST_OUTCOMES && compared;
+        self.enough = on_trial && (own || self.tallied >= LEAST_OUTCOMES);
+        self.sure_since = if is_sure { self.sure_since.or(Some(now)) } else { None };
         let hard = self.alone || !on_trial || trial.len() < FEW_MACHINES || sight.dead;
         let sure_for = if hard { HARD_SURE_FOR } else { SURE_FOR };
         let sure = self.sure_since.is_some_and(|since| now - since >= sure_for);
@@ -509,7 +564,8 @@
     typical: Vec<Ms>, // usual time of an answer, by product
     resends: f64,
     service: BTreeMap<Option<String>, Service>, // by tenant
-    longest: Vec<Ms>,                           // time left to a first try, by product
+    all_service: Service,
+    longest: Vec<Ms>, // time left to a first try, by product
     look_at: Ms,
     wake_at: Ms,
     asked: bool,
@@ -532,7 +588,15 @@
         Choice {
             fleet: Fleet { terms: list, cold, ..Default::default() },
             exposure: Exposure { terms: exposure, arrivals, ..Default::default() },
-            judge: Judge { terms: votes, delta, base, voters, ..Default::default() },
+            judge: Judge {
+                terms: votes,
+                delta,
+                base,
+                voters,
+                tallies: vec![Default::default(); count],
+                tallied_before: vec![Default::default(); count],
+                ..Default::default()
+            },
             typical: products.iter().map(|product| product.sla / 4.0).collect(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             zone: place.zone,
@@ -543,6 +607,7 @@
             waiting: Vec::new(),
             resends: RESEND_SAVED,
             service: BTreeMap::new(),
+            all_service: Service::default(),
             longest: vec![0.0; count],
             look_at: 0.0,
             wake_at: f64::INFINITY,
@@ -625,11 +690,8 @@
                 let sla = known.sla_for(work);
                 let late = repeat && left < usual - MARGIN && left >= sla;
                 let sla = if late { (sla - (known.expiry - left)).max(0.0) } else { sla };
-                let shed = self.service.get_mut(&tenant).is_some_and(|service| {
-                    service.fade(now, SHED_HALF);
-                    let good = (service.good + SHED_DOUBT) / (service.came + SHED_DOUBT);
-                    self.rng.random::<f64>() < 1.0 - good / SHED_BELOW
-                });
+                let shed = self.shed_share(&tenant, now) * if repeat { REPEATS_SHED } else { 1.0 };
+                let shed = self.rng.random::<f64>() < shed;
                 self.txns.insert(id, Txn::new(product, tenant, key, work, now, left, sla));
                 if shed {
                     return self.answer(id, now);
@@ -647,9 +709,13 @@
                 let known = self.fleet.index.get(&instance);
                 known.into_iter().for_each(|i| self.judge.flag(&mut self.fleet.servers, *i));
             }
-            Event::Tally { build, count, failed, .. } => {
-                let (all, faults) = &mut self.judge.tallies[usize::from(self.judge.watched == Some(build))];
-                (*all, *faults) = (*all + count as f64, *faults + failed as f64);
+            Event::Tally { build, product, count, failed, took, .. } => {
+                let known = self.products.iter().position(|known| known.name == product);
+                let side = usize::from(self.judge.watched == Some(build));
+                let took = took.filter(|took| *took > 0.0).unwrap_or(1.0);
+                if let Some(product) = known.filter(|_| failed <= count) {
+                    self.judge.tallies[product][side].add(count as f64, failed as f64, took);
+                }
             }
             Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
         }
@@ -691,6 +757,17 @@
         self.forget(id);
     }
 
+    /// The share of a tenant's txns to decline at once. A few own txns tell little: they are weighed
+    /// with those of all tenants here.
+    fn shed_share(&mut self, tenant: &Option<String>, now: Ms) -> f64 {
+        let mut good = 1.0;
+        for service in [Some(&mut self.all_service), self.service.get_mut(tenant)].into_iter().flatten() {
+            service.fade(now, SHED_HALF);
+            good = (service.good + SHED_DOUBT * good) / (service.came + SHED_DOUBT);
+        }
+        1.0 - good / SHED_BELOW
+    }
+
     fn may_resend(&self, id: TxnId) -> bool {
         let txn = &self.txns[&id];
         let once = self.products[txn.product].effect == Effect::OnceOnly;
@@ -764,10 +841,10 @@
             && txn.came >= self.stalled
             && !txn.submissions.is_empty()
         {
-            let service = self.service.entry(txn.tenant.clone()).or_default();
-            service.fade(now, SHED_HALF);
-            service.came += 1.0;
-            service.good += good;
+            for service in [&mut self.all_service, self.service.entry(txn.tenant.clone()).or_default()] {
+                service.fade(now, SHED_HALF);
+                (service.came, service.good) = (service.came + 1.0, service.good + good);
+            }
         }
         (0..txn.submissions.len()).for_each(|n| self.recall(id, n));
         self.forget(id);
@@ -887,7 +964,9 @@
         over.into_iter().for_each(|id| self.answer(id, now));
         stuck.into_iter().for_each(|(id, n)| self.send_elsewhere(id, n, now));
         let (trial, earlier) = self.sides();
-        let sight = Sight { trial, earlier, dead: self.fleet.many_dead(now), now };
+        let warmth =
+            trial.iter().map(|i| self.fleet.warmth(*i, now)).sum::<f64>() / trial.len().max(1) as f64;
+        let sight = Sight { trial, earlier, dead: self.fleet.many_dead(now), warmth, now };
         if let Some(news) = &self.exposure.news {
             self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.out);
         }
@@ -895,6 +974,10 @@
 
     /// A txn stuck at a silent instance: a second copy where permitted, else recalled to be sent again.
     fn send_elsewhere(&mut self, id: TxnId, n: usize, now: Ms) {
+        // In an overload a second copy only takes another's place.
+        if self.shed_share(&None, now) > 0.0 {
+            return;
+        }
         let txn = &self.txns[&id];
         if self.resends < 1.0 || now >= txn.in_time || !self.may_resend(id) {
             return;
--- a/src/state.rs
+++ b/src/state.rs
@@ -228,6 +228,8 @@
     pub earlier: Vec<usize>,
     /// Many instances are dead: slowness then is not the build's.
     pub dead: bool,
+    /// Mean capacity that the instances on trial have at least.
+    pub warmth: f64,
     pub now: Ms,
 }
 
@@ -269,8 +271,16 @@
     pub in_step: u32,
     /// How right all answers were that the watched build did not give.
     pub others: Arm,
-    /// What the platform counted since then, all and failed: of the others, and of the watched build.
-    pub tallies: [(f64, f64); 2],
+    /// What the platform counted, not yet weighed, by product: of the others, and of the watched build.
+    pub tallies: Vec<[Count; 2]>,
+    /// Share of failures before the trial, by product.
+    pub tallied_before: Vec<Arm>,
+    /// Counted at the present stage; pace against the others; failures, and how many were expected.
+    pub stage: (Build, u32),
+    pub tallied: f64,
+    pub tallied_pace: Arm,
+    pub tallied_faults: f64,
+    pub tallied_expected: f64,
 }
 
 /// The list of instances and how each one does.
@@ -306,3 +316,19 @@
         (self.came, self.good, self.at) = (self.came * share, self.good * share, now);
     }
 }
+
+/// Submissions counted by the platform: all, failed, mean time of the others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Count {
+    pub count: f64,
+    pub failed: f64,
+    pub time: Ms,
+}
+
+impl Count {
+    pub fn add(&mut self, count: f64, failed: f64, time: Ms) {
+        let (had, more) = (self.count - self.failed, count - failed);
+        self.time = (self.time * had + time * more) / (had + more).max(1.0);
+        (self.count, self.failed) = (self.count + count, self.failed + failed);
+    }
+}
