--- a/src/choice.rs
+++ b/src/choice.rs
@@ -909,7 +909,11 @@
         // Released: the newest build of the earlier ones serves, the others are on their way out.
         let newest = earlier.iter().map(|i| s.build[*i]).max().unwrap_or(0);
         let newest: Vec<usize> = earlier.iter().copied().filter(|i| s.build[*i] == newest).collect();
-        let order = if trial_first { [trial, &newest, earlier] } else { [&newest, earlier, trial] };
+        // The part of a cold instance is small, by chance and soon used: it goes before the coin.
+        let cold = earlier.iter().chain(trial.iter().filter(|_| going)).copied();
+        let cold = cold.filter(|i| self.fleet.warmth(*i, now) < 1.0).collect();
+        let order =
+            if trial_first { [&cold, trial, &newest, earlier] } else { [&cold, &newest, earlier, trial] };
         let found = order.into_iter().find_map(|side| self.pick(id, side, now));
         found.is_some_and(|i| self.submit(id, i, now))
     }
