--- a/src/choice.rs
+++ b/src/choice.rs
@@ -181,6 +181,12 @@
         }
     }
 
+    fn note_flag(&mut self, build: Build) {
+        if self.watched.is_some_and(|watched| build <= watched) {
+            self.flags[usize::from(self.watched == Some(build))] += 1.0;
+        }
+    }
+
     fn note_given_up(&mut self) {
         self.now[SCORE].add(0.0);
         if self.trial.is_none() && self.released.is_none() {
@@ -253,6 +259,8 @@
                 usual.merge(&Arm { count: old.count, mean: old.failed / old.count, squares: 0.0 });
             }
             self.tallied += new.count;
+            self.answers[0] += old.count - old.failed;
+            self.answers[1] += new.count - new.failed;
             if new.count == 0.0 || warmth < TALLY_WARM {
                 continue;
             }
@@ -286,6 +294,7 @@
             (self.trial, self.sure_since, self.rehearsed) = (trial, None, None);
             if trial.is_some() && trial != self.watched {
                 self.watched = trial;
+                (self.flags, self.answers) = ([0.0; 2], [0.0; 2]);
                 (self.tallied_pace, self.tallied_faults, self.tallied_expected) = Default::default();
             }
             s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
@@ -355,6 +364,12 @@
             if !sight.dead {
                 let expected = FAULT_MARGIN * self.tallied_expected / CLUSTERS;
                 found.push((Self::rare(expected, self.tallied_faults / CLUSTERS), "tallies"));
+                // Flags that gateways told each other, against those of other builds per answer.
+                let share = self.answers[1] / self.answers[0].max(1.0);
+                let expected = FAULT_MARGIN * (self.flags[0] + 1.0) * share;
+                let heard = self.answers[1].min(self.answers[0]) >= LEAST_OUTCOMES;
+                let flags = if heard { self.flags[1] } else { 0.0 };
+                found.push((Self::rare(expected, flags), "flags beside tallies"));
                 let even = Arm { count: 1e6, mean: 0.0, squares: 0.0 };
                 let pi = Self::pi(rng, &even, &self.tallied_pace, PACE_MARGIN);
                 found.push((pi, "times in tallies"));
@@ -706,8 +721,19 @@
             Event::Stage(news) if news.valid => self.exposure.hear(news),
             Event::Stage(news) => self.judge.stands &= !news.answer || news.unsure,
             Event::Flagged { instance, .. } => {
-                let known = self.fleet.index.get(&instance);
-                known.into_iter().for_each(|i| self.judge.flag(&mut self.fleet.servers, *i));
+                let Some(i) = self.fleet.index.get(&instance).copied() else { return };
+                self.judge.flag(&mut self.fleet.servers, i);
+                let build = self.fleet.servers.build[i];
+                self.judge.note_flag(build);
+                // One flag tells a gateway little, those of hundreds tell of the build: four bytes each.
+                if self.permits.peers {
+                    self.out.push(Action::Tell { to: None, data: build.to_be_bytes().to_vec() });
+                }
+            }
+            Event::Peer { data, .. } => {
+                if let Ok(build) = <[u8; 4]>::try_from(&data[..]) {
+                    self.judge.note_flag(Build::from_be_bytes(build));
+                }
             }
             Event::Tally { build, product, count, failed, took, .. } => {
                 let known = self.products.iter().position(|known| known.name == product);
@@ -717,7 +743,7 @@
                     self.judge.tallies[product][side].add(count as f64, failed as f64, took);
                 }
             }
-            Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Timer { .. } | Event::Probed { .. } => {}
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -281,6 +281,9 @@
     pub tallied_pace: Arm,
     pub tallied_faults: f64,
     pub tallied_expected: f64,
+    /// Flags heard of by any gateway, and answers in tallies: of the others, and of the watched build.
+    pub flags: [f64; 2],
+    pub answers: [f64; 2],
 }
 
 /// The list of instances and how each one does.
