--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,6 +53,8 @@
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
 const FRESH_CAP: f64 = 2.0; // in flight at a fresh instance: one running, one to follow
 const KNOWN_CAP: f64 = 4.0; // in flight at an instance met long started
+const SLOW_WEIGHT: f64 = 0.3; // weight of the newest answer time at an instance
+const SLOW_HALF: Ms = 5000.0; // ms in which what answer times tell halves
 const CAP_GAIN: f64 = 0.25; // how far one answer moves that cap
 const QUEUE_SHARE: f64 = 0.25; // mean share of the SLA time that answers may take before the cap falls
 const PATIENCE: f64 = 0.5; // share of the SLA time that a silent instance gets before a txn goes elsewhere
@@ -167,6 +169,8 @@
         }
         if settled || overdue {
             let pace = learn(PACE, pace, &mut self.base[txn.product]);
+            s.slow[i] += SLOW_WEIGHT * (-pace - s.slow[i]);
+            s.slow_at[i] = sub.sent + took;
             if self.unwell && earlier && (sub.sent / SLOT).fract() >= SLOT_LEAD {
                 self.turns[usize::from(spares(sub.sent))].add(pace);
             }
@@ -910,7 +914,10 @@
         let load = |i: usize| {
             let away = self.costs.cross_zone > 0.0 && s.zone[i] != self.zone;
             let bias = if away { CROSS_BIAS } else { 0.0 };
-            (f64::from(s.in_flight[i]) + bias) / (s.weight[i] * self.fleet.warmth(i, now))
+            // With hardly anything in flight of its own, a gateway's own answer times tell of load.
+            let age = (now - s.slow_at[i]) / SLOW_HALF;
+            let slow = (s.slow[i] * 0.5f64.powf(age)).exp();
+            (f64::from(s.in_flight[i]) + bias + 1.0) * slow / (s.weight[i] * self.fleet.warmth(i, now))
         };
         let (first, second) = (*open.choose(&mut self.rng)?, *open.choose(&mut self.rng)?);
         Some(if load(second) < load(first) { second } else { first })
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,6 +154,9 @@
     pub arms: [Vec<Arm>; 3],
     /// Submissions in a row without an answer.
     pub silent: Vec<u32>,
+    /// How slow it lately answered, in log of its usual time, and when.
+    pub slow: Vec<f64>,
+    pub slow_at: Vec<Ms>,
     /// Submissions that a cold instance may still get from this gateway.
     pub cold_part: Vec<f64>,
 }
@@ -178,6 +181,8 @@
         self.aside_times.push(0);
         self.arms.iter_mut().for_each(|arms| arms.push(Arm::default()));
         self.silent.push(0);
+        self.slow.push(0.0);
+        self.slow_at.push(0.0);
         self.cold_part.push(0.0);
         self.id.len() - 1
     }
@@ -208,7 +213,7 @@
         self.aside_until[i] = 0.0;
         self.aside_times[i] = 0;
         self.arms.iter_mut().for_each(|arms| arms[i] = Arm::default());
-        self.silent[i] = 0;
+        (self.silent[i], self.slow[i]) = (0, 0.0);
     }
 }
 
