--- a/src/choice.rs
+++ b/src/choice.rs
@@ -253,7 +253,7 @@
 
     /// Adds the tallies that came since: trial against earlier within each period and product, so that
     /// neither their mix nor what comes over the fleet counts. All gateways hear the same.
-    fn weigh_tallies(&mut self, warmth: f64) {
+    fn weigh_tallies(&mut self, warmth: f64, full: bool) {
         let calm = self.trial.is_none() && self.released.is_none();
         for (product, [old, new]) in self.tallies.iter_mut().enumerate() {
             let (old, new) = (std::mem::take(old), std::mem::take(new));
@@ -269,7 +269,8 @@
                 continue;
             }
             let usual = if usual.count > 0.0 { usual.mean } else { 0.0 };
-            let alone = old.count < LEAST_OUTCOMES.min(new.count);
+            // Earlier instances that are gone, or idle while the build carries nearly all, are no comparison.
+            let alone = full || old.count < LEAST_OUTCOMES.min(new.count);
             let rate = if alone { usual + COLLAPSE } else { (old.failed + 1.0) / (old.count + 1.0) };
             self.tallied_faults += new.failed;
             self.tallied_expected += rate * new.count;
@@ -317,7 +318,7 @@
         if (news.build, news.stage) != self.stage {
             (self.stage, self.tallied) = ((news.build, news.stage), 0.0);
         }
-        self.weigh_tallies(sight.warmth);
+        self.weigh_tallies(sight.warmth, news.cap >= 1.0);
         self.judged = now;
         let newest = sight.trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
         let lives = |i: &usize| s.aside_until[*i] <= now || now - s.last_answer[*i] < DEAD_AFTER;
@@ -346,6 +347,10 @@
         let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
         self.released = (news.phase == Phase::Released && now - at < WATCH).then_some((news.build, at));
         let full = on_trial && (news.cap >= 1.0 || self.alone);
+        let expected = FAULT_MARGIN * self.tallied_expected / CLUSTERS;
+        let failing = Self::rare(expected, self.tallied_faults / CLUSTERS);
+        // What one gateway alone saw fall is its own trouble unless the tallies of all fell too.
+        let seen = if self.answers[1] >= LEAST_OUTCOMES { failing } else { 1.0 };
         let mut found = vec![(0.5, "nothing")];
         let mut scores = Arm::pool(&s.arms[SCORE], trial, None);
         if on_trial && !full {
@@ -358,16 +363,16 @@
         } else if full && !self.alone && !self.unwell {
             // The build carries nearly all, so only the time before had a like load; that the earlier ones,
             // idle by now, are well tells that nothing else has come over the fleet.
-            found.push((Self::pi(rng, &self.before, &scores, UNWELL_SCORE), "rehearsal"));
+            found.push((Self::pi(rng, &self.before, &scores, UNWELL_SCORE).min(seen), "rehearsal"));
         } else if (full || self.released.is_some()) && !sight.dead {
             scores = if on_trial { scores } else { self.now[SCORE] };
-            found.push((Self::pi(rng, &self.before, &scores, COLLAPSE), "collapse since the time before"));
+            let pi = Self::pi(rng, &self.before, &scores, COLLAPSE).min(seen);
+            found.push((pi, "collapse since the time before"));
         }
         if on_trial || self.released.is_some() {
             found.push((self.faults(s), "errors and flags"));
             if !sight.dead {
-                let expected = FAULT_MARGIN * self.tallied_expected / CLUSTERS;
-                found.push((Self::rare(expected, self.tallied_faults / CLUSTERS), "tallies"));
+                found.push((failing, "tallies"));
                 // Flags that gateways told each other, against those of other builds per answer.
                 let share = self.answers[1] / self.answers[0].max(1.0);
                 let expected = FAULT_MARGIN * (self.flags[0] + 1.0) * share;
@@ -395,7 +400,7 @@
         if self.condemned != Some(news.build) && sure {
             self.condemned = Some(news.build);
             let by = format!("pi {pi:.3} by {why}, {:.0} outcomes, {} on trial", scores.count, trial.len());
-            out.push(Action::Log(format!("build {} found bad at stage {}: {by}", news.build, news.stage)));
+            self.verdict_log = Some(format!("build {} found bad at stage {}: {by}", news.build, news.stage));
         }
         // A release takes the earlier machines away: not while many are dead and every one is needed.
         let fit = on_trial && !trial.is_empty() && (!full || self.alone || !sight.dead);
@@ -441,7 +446,8 @@
         if due && rng.random::<f64>() < self.voters {
             (self.vote, self.voted, self.stands) = (Some(wanted), now, true);
             out.push(Action::Vote { build, stage, verdict });
-            if last != self.vote {
+            out.extend(self.verdict_log.take().map(Action::Log));
+            if last != self.vote && verdict != Verdict::None {
                 let by = format!("pi {:.3}, {:.0} outcomes", self.pi, self.outcomes);
                 out.push(Action::Log(format!("vote {verdict:?} on build {build} stage {stage}: {by}")));
             }
@@ -536,7 +542,7 @@
             s.aside_until[i] = now + (ASIDE * f64::from(1u32 << s.aside_times[i].min(8))).min(ASIDE_MOST);
             s.aside_times[i] += 1;
             s.in_flight_cap[i] = 1.0;
-            if s.aside_times[i] == 1 {
+            if s.aside_times[i] == 1 && self.logs {
                 out.push(Action::Log(format!("instance {} aside: {why}", s.id[i])));
             }
         }
@@ -605,7 +611,8 @@
         let (voters, arrivals) =
             (VOTERS * needed / f64::from(place.gateways.max(1)), vec![Times::default(); count]);
         Choice {
-            fleet: Fleet { terms: list, cold, ..Default::default() },
+            // The logs of a few tell what hundreds see.
+            fleet: Fleet { terms: list, cold, logs: f64::from(place.me) < VOTERS, ..Default::default() },
             exposure: Exposure { terms: exposure, arrivals, ..Default::default() },
             judge: Judge {
                 terms: votes,
--- a/src/state.rs
+++ b/src/state.rs
@@ -288,6 +288,8 @@
     pub tallied_expected: f64,
     /// Flags heard of by any gateway, and answers in tallies: of the others, and of the watched build.
     pub flags: [f64; 2],
+    /// Why the build was found bad, until the vote is cast.
+    pub verdict_log: Option<String>,
     pub answers: [f64; 2],
 }
 
@@ -308,6 +310,8 @@
     pub lowest: Build,
     /// Calls for the list that failed in a row.
     pub failures: u32,
+    /// This gateway logs which instances it leaves aside.
+    pub logs: bool,
 }
 
 /// How one tenant's txns are served, old ones faded.
