--- a/src/choice.rs
+++ b/src/choice.rs
@@ -253,8 +253,10 @@
 
     /// Adds the tallies that came since: trial against earlier within each period and product, so that
     /// neither their mix nor what comes over the fleet counts. All gateways hear the same.
-    fn weigh_tallies(&mut self, warmth: f64, full: bool) {
+    fn weigh_tallies(&mut self, warmth: f64, machines: usize, full: bool) {
         let calm = self.trial.is_none() && self.released.is_none();
+        // Tallies don't name machines: few on trial may be slow or sick by themselves.
+        let lone = if machines < FEW_MACHINES { CLUSTERS } else { 1.0 };
         for (product, [old, new]) in self.tallies.iter_mut().enumerate() {
             let (old, new) = (std::mem::take(old), std::mem::take(new));
             let usual = &mut self.tallied_before[product];
@@ -271,9 +273,13 @@
             let usual = if usual.count > 0.0 { usual.mean } else { 0.0 };
             // Earlier instances that are gone, or idle while the build carries nearly all, are no comparison.
             let alone = full || old.count < LEAST_OUTCOMES.min(new.count);
-            let rate = if alone { usual + COLLAPSE } else { (old.failed + 1.0) / (old.count + 1.0) };
+            let rate = if alone {
+                (usual + COLLAPSE) / FAULT_MARGIN
+            } else {
+                (old.failed + 1.0) / (old.count + 1.0)
+            };
             self.tallied_faults += new.failed;
-            self.tallied_expected += rate * new.count;
+            self.tallied_expected += rate * new.count * lone;
             let (ours, theirs) = (new.count - new.failed, old.count - old.failed);
             if !alone && ours > 0.0 && theirs > 0.0 {
                 let count = ours * theirs / (ours + theirs) / CLUSTERS;
@@ -318,7 +324,7 @@
         if (news.build, news.stage) != self.stage {
             (self.stage, self.tallied) = ((news.build, news.stage), 0.0);
         }
-        self.weigh_tallies(sight.warmth, news.cap >= 1.0);
+        self.weigh_tallies(sight.warmth, sight.trial.len(), news.cap >= 1.0);
         self.judged = now;
         let newest = sight.trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
         let lives = |i: &usize| s.aside_until[*i] <= now || now - s.last_answer[*i] < DEAD_AFTER;
@@ -399,7 +405,11 @@
         let sure = self.sure_since.is_some_and(|since| now - since >= sure_for);
         if self.condemned != Some(news.build) && sure {
             self.condemned = Some(news.build);
-            let by = format!("pi {pi:.3} by {why}, {:.0} outcomes, {} on trial", scores.count, trial.len());
+            let counts = (scores.count, trial.len(), self.tallied_faults, self.tallied_expected);
+            let by = format!(
+                "pi {pi:.3} by {why}, {:.0} outcomes, {} on trial, tallies fail {:.1} against {:.1}",
+                counts.0, counts.1, counts.2, counts.3
+            );
             self.verdict_log = Some(format!("build {} found bad at stage {}: {by}", news.build, news.stage));
         }
         // A release takes the earlier machines away: not while many are dead and every one is needed.
