--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,7 +32,7 @@
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
 const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
-const CLUSTERS: f64 = 2.0; // times on top in tallies, which count time-outs: these come in clusters
+const CLUSTERS: f64 = 3.0; // failures in tallies that come as one: time-outs cluster, and few machines may be sick
 const STEP_MARGIN: f64 = 0.15; // log of 1.16: earlier instances gain that much while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
 const COLLAPSE: f64 = 0.2; // the same that no good build costs, however loaded
@@ -253,10 +253,8 @@
 
     /// Adds the tallies that came since: trial against earlier within each period and product, so that
     /// neither their mix nor what comes over the fleet counts. All gateways hear the same.
-    fn weigh_tallies(&mut self, warmth: f64, machines: usize, full: bool) {
+    fn weigh_tallies(&mut self, warmth: f64, full: bool) {
         let calm = self.trial.is_none() && self.released.is_none();
-        // Tallies don't name machines: few on trial may be slow or sick by themselves.
-        let lone = if machines < FEW_MACHINES { CLUSTERS } else { 1.0 };
         for (product, [old, new]) in self.tallies.iter_mut().enumerate() {
             let (old, new) = (std::mem::take(old), std::mem::take(new));
             let usual = &mut self.tallied_before[product];
@@ -279,10 +277,10 @@
                 (old.failed + 1.0) / (old.count + 1.0)
             };
             self.tallied_faults += new.failed;
-            self.tallied_expected += rate * new.count * lone;
+            self.tallied_expected += rate * new.count;
             let (ours, theirs) = (new.count - new.failed, old.count - old.failed);
             if !alone && ours > 0.0 && theirs > 0.0 {
-                let count = ours * theirs / (ours + theirs) / CLUSTERS;
+                let count = ours * theirs / (ours + theirs) / 2.0;
                 let mean = (old.time / (new.time * warmth)).ln();
                 self.tallied_pace.merge(&Arm { count, mean, squares: count });
             }
@@ -324,7 +322,7 @@
         if (news.build, news.stage) != self.stage {
             (self.stage, self.tallied) = ((news.build, news.stage), 0.0);
         }
-        self.weigh_tallies(sight.warmth, sight.trial.len(), news.cap >= 1.0);
+        self.weigh_tallies(sight.warmth, news.cap >= 1.0);
         self.judged = now;
         let newest = sight.trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
         let lives = |i: &usize| s.aside_until[*i] <= now || now - s.last_answer[*i] < DEAD_AFTER;
