--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,15 +33,12 @@
 const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
 const CLUSTERS: f64 = 3.0; // failures in tallies that come as one: time-outs cluster, and few machines may be sick
-const STEP_MARGIN: f64 = 0.15; // log of 1.16: earlier instances gain that much while the trial gets nothing
 const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
 const COLLAPSE: f64 = 0.2; // the same that no good build costs, however loaded
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
 const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: costs little
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
-const SLOT: Ms = 1500.0; // ms of each turn, by the clock all gateways share, with or without the trial
-const TURNS_IN_STEP: u32 = 3; // pairs of turns in a row that tell: few pauses keep step that long
-const SLOT_LEAD: f64 = 0.4; // share of a turn in which queues still tell of the turn before
+const SLOT: Ms = 3000.0; // ms that going on waits after the last sign that the earlier instances do worse
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
 const LOST_FOR: Ms = 30_000.0; // ms that an instance gone from the list without a drain counts as dead
 const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
@@ -138,12 +135,6 @@
         // A machine that is down, full or silent tells of itself, not of its build.
         let error = ending == Ending::Error;
         let heard = settled || error || (ending == Ending::NoAnswer && s.last_answer[i] >= sub.sent);
-        if settled || error {
-            s.arms[RIGHT][i].add(f64::from(u8::from(settled)));
-            if self.watched != Some(sub.build) {
-                self.others.add(f64::from(u8::from(settled)));
-            }
-        }
         let calm = self.trial.is_none() && self.released.is_none();
         let earlier = self.trial != Some(sub.build);
         let mut learn = |kind: usize, value: f64, before: &mut Arm| {
@@ -171,17 +162,6 @@
             let pace = learn(PACE, pace, &mut self.base[txn.product]);
             s.slow[i] += SLOW_WEIGHT * (-pace - s.slow[i]);
             s.slow_at[i] = sub.sent + took;
-            if self.unwell && earlier && (sub.sent / SLOT).fract() >= SLOT_LEAD {
-                self.turns[usize::from(spares(sub.sent))].add(pace);
-            }
-        }
-    }
-
-    fn flag(&mut self, s: &mut Servers, i: usize) {
-        s.arms[SCORE][i].zero_one();
-        s.arms[RIGHT][i].zero_one();
-        if self.watched != Some(s.build[i]) {
-            self.others.zero_one();
         }
     }
 
@@ -228,21 +208,6 @@
         if rest.count < LEAST_OUTCOMES { pi } else { pi.min(Self::pi(rng, &old, &rest, handicap)) }
     }
 
-    /// The chance of fewer errors and flags than the watched build has, were it as right as the others:
-    /// they are too rare for a Gaussian posterior. The worst machine does not count: it may be sick.
-    fn faults(&self, s: &Servers) -> f64 {
-        let wrong = |arm: &Arm| arm.count * (1.0 - arm.mean);
-        let of_build = |i: &usize| Some(s.build[*i]) == self.watched && s.errors[*i] <= SICK_ERRORS;
-        let mut arms: Vec<Arm> = (0..s.id.len()).filter(of_build).map(|i| s.arms[RIGHT][i]).collect();
-        arms.retain(|arm| arm.count > 0.0);
-        arms.sort_by(|a, b| wrong(a).total_cmp(&wrong(b)));
-        let counted = &arms[..arms.len().saturating_sub(1).max(arms.len().min(1))];
-        let answers: f64 = counted.iter().map(|arm| arm.count).sum();
-        let faults = counted.iter().map(wrong).sum();
-        let rate = (wrong(&self.others) + 1.0) / self.others.count.max(1.0);
-        Self::rare(FAULT_MARGIN * answers * rate, faults)
-    }
-
     /// The chance of fewer faults than these where so many are expected.
     fn rare(expected: f64, faults: f64) -> f64 {
         let chances = (1..).scan((-expected).exp(), |chance, k| {
@@ -292,7 +257,7 @@
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
         let of_trial = |i: &usize| Some(s.build[*i]) == trial;
         if (0..s.id.len()).filter(of_trial).map(|i| s.arms[SCORE][i].count).sum::<f64>() > FADE_FROM {
-            s.arms[..RIGHT].iter_mut().flatten().for_each(|arm| arm.fade(half(FADE_HALF)));
+            s.arms.iter_mut().flatten().for_each(|arm| arm.fade(half(FADE_HALF)));
         }
         self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
         let share = half(TALLY_HALF);
@@ -337,16 +302,7 @@
         let worse =
             below(&self.now[SCORE], self.before.mean - UNWELL_SCORE) || below(&self.now[PACE], -PACE_MARGIN);
         self.worse_at = if worse && !sight.dead { now } else { self.worse_at };
-        // It lasts over the turns that spare the trial, or they would end it.
-        self.unwell = now - self.worse_at < 2.0 * SLOT;
-        // After each pair of turns: a trouble that comes and goes by itself rarely keeps step several times.
-        let [with, without] = &self.turns;
-        if std::mem::replace(&mut self.spared, spares(now)) && !self.spared {
-            let helped =
-                with.count.min(without.count) >= LEAST_OUTCOMES && without.mean - with.mean > STEP_MARGIN;
-            self.in_step = if helped && self.unwell { self.in_step + 1 } else { 0 };
-            self.turns = Default::default();
-        }
+        self.unwell = now - self.worse_at < SLOT;
         let on_trial = self.trial == Some(news.build) && news.phase == Phase::OnTrial;
         let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
         self.released = (news.phase == Phase::Released && now - at < WATCH).then_some((news.build, at));
@@ -363,7 +319,6 @@
             if trial.len() > 1 {
                 found.push((Self::pi_by(rng, &s.arms[PACE], trial, earlier, PACE_MARGIN), "pace"));
             }
-            found.push((f64::from(u8::from(self.in_step >= TURNS_IN_STEP)), "turns that spare it"));
         } else if full && !self.alone && !self.unwell {
             // The build carries nearly all, so only the time before had a like load; that the earlier ones,
             // idle by now, are well tells that nothing else has come over the fleet.
@@ -374,7 +329,6 @@
             found.push((pi, "collapse since the time before"));
         }
         if on_trial || self.released.is_some() {
-            found.push((self.faults(s), "errors and flags"));
             if !sight.dead {
                 found.push((failing, "tallies"));
                 // Flags that gateways told each other, against those of other builds per answer.
@@ -463,10 +417,6 @@
     }
 }
 
-fn spares(now: Ms) -> bool {
-    (now / SLOT).rem_euclid(2.0) >= 1.0 // a turn that spares the trial
-}
-
 impl Fleet {
     fn hear(&mut self, rng: &mut Pcg64Mcg, kind: ListKind, entries: &[Listing], now: Ms) {
         self.ask_at = match kind {
@@ -741,8 +691,8 @@
             Event::Stage(news) => self.judge.stands &= !news.answer || news.unsure,
             Event::Flagged { instance, .. } => {
                 let Some(i) = self.fleet.index.get(&instance).copied() else { return };
-                self.judge.flag(&mut self.fleet.servers, i);
                 let build = self.fleet.servers.build[i];
+                self.fleet.servers.arms[SCORE][i].zero_one();
                 self.judge.note_flag(build);
                 // One flag tells a gateway little, those of hundreds tell of the build: four bytes each.
                 if self.permits.peers {
@@ -946,8 +896,7 @@
         };
         let share = trial.len() as f64 / (trial.len() + earlier.len()).max(1) as f64;
         let back = self.exposure.news.as_ref().is_some_and(|news| news.phase == Phase::GoingBack);
-        // While all are slow, every other turn spares the trial: if that helps, the build is the cause.
-        let going = !(back || (self.judge.unwell && spares(now)));
+        let going = !back;
         let coin = self.rng.random::<f64>();
         let rehearses = self.judge.rehearsed.is_some() && coin < REHEARSED;
         // Parity of less than a txn in flight at each instance tells little: the coin turns to the share.
--- a/src/state.rs
+++ b/src/state.rs
@@ -126,10 +126,9 @@
     }
 }
 
-/// Kinds of arms: served in time, log of the pace, neither error nor flagged.
+/// Kinds of arms: served in time, log of the pace.
 pub const SCORE: usize = 0;
 pub const PACE: usize = 1;
-pub const RIGHT: usize = 2;
 
 /// Figures on instances, in parallel arrays under one dense index.
 #[derive(Clone, Debug, Default)]
@@ -151,7 +150,7 @@
     pub lost_at: Vec<Ms>,
     pub aside_times: Vec<u32>,
     /// Arms by kind, then by instance.
-    pub arms: [Vec<Arm>; 3],
+    pub arms: [Vec<Arm>; 2],
     /// Submissions in a row without an answer.
     pub silent: Vec<u32>,
     /// How slow it lately answered, in log of its usual time, and when.
@@ -270,12 +269,6 @@
     pub worse_at: Ms,
     /// No earlier instance answers any more.
     pub alone: bool,
-    /// Pace of the earlier instances in turns with and without traffic on trial.
-    pub turns: [Arm; 2],
-    pub spared: bool,
-    pub in_step: u32,
-    /// How right all answers were that the watched build did not give.
-    pub others: Arm,
     /// What the platform counted, not yet weighed, by product: of the others, and of the watched build.
     pub tallies: Vec<[Count; 2]>,
     /// Share of failures before the trial, by product.
