--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,17 +28,15 @@
 const FEW_PATIENCE: Ms = 4000.0; // ms per stage after that start in which too few outcomes make it wait
 const FADE_HALF: Ms = 4000.0; // ms in which an outcome's weight halves: long for power, short for late harm
 const FADE_FROM: f64 = 60.0; // outcomes on trial from which old ones fade: few are all there is to judge by
-const NOW_HALF: Ms = 1500.0; // ms the same for how the whole fleet does now
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
 const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
 const CLUSTERS: f64 = 3.0; // failures in tallies that come as one: time-outs cluster, and few machines may be sick
-const UNWELL_SCORE: f64 = 0.1; // share of answers in time lost since before the trial that keeps it waiting
-const COLLAPSE: f64 = 0.2; // the same that no good build costs, however loaded
+const COLLAPSE: f64 = 0.2; // share of failures on top of those before the trial that no good build costs
+const MOST_FAULTS: f64 = 1e4; // failures that are weighed at most: more tell nothing new
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
 const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: costs little
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
-const SLOT: Ms = 3000.0; // ms that going on waits after the last sign that the earlier instances do worse
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
 const LOST_FOR: Ms = 30_000.0; // ms that an instance gone from the list without a drain counts as dead
 const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
@@ -136,19 +134,6 @@
         let error = ending == Ending::Error;
         let heard = settled || error || (ending == Ending::NoAnswer && s.last_answer[i] >= sub.sent);
         let calm = self.trial.is_none() && self.released.is_none();
-        let earlier = self.trial != Some(sub.build);
-        let mut learn = |kind: usize, value: f64, before: &mut Arm| {
-            if calm || before.count < LEAST_OUTCOMES {
-                before.add(value);
-                before.fade(BASE_FADE);
-            }
-            let value = if kind == PACE { value - before.mean } else { value };
-            s.arms[kind][i].add(value);
-            if earlier || self.alone {
-                self.now[kind].add(value);
-            }
-            value
-        };
         // A cold machine is no slow build: its time counts as at the capacity that it had at least.
         let warm_time = took * sub.warmth;
         let pace = -(warm_time.max(0.1) / txn.work.map_or(1.0, |work| work.max(0.1))).ln();
@@ -156,11 +141,16 @@
         let overdue = matches!(ending, Ending::Recalled | Ending::NoAnswer)
             && pace < self.base[txn.product].mean - PACE_MARGIN;
         if heard || (overdue && warm_time > sla) {
-            learn(SCORE, f64::from(u8::from(settled && warm_time <= sla)), &mut self.before);
+            s.arms[SCORE][i].add(f64::from(u8::from(settled && warm_time <= sla)));
         }
         if settled || overdue {
-            let pace = learn(PACE, pace, &mut self.base[txn.product]);
-            s.slow[i] += SLOW_WEIGHT * (-pace - s.slow[i]);
+            let usual = &mut self.base[txn.product];
+            if calm || usual.count < LEAST_OUTCOMES {
+                usual.add(pace);
+                usual.fade(BASE_FADE);
+            }
+            s.arms[PACE][i].add(pace - usual.mean);
+            s.slow[i] += SLOW_WEIGHT * (usual.mean - pace - s.slow[i]);
             s.slow_at[i] = sub.sent + took;
         }
     }
@@ -171,13 +161,6 @@
         }
     }
 
-    fn note_given_up(&mut self) {
-        self.now[SCORE].add(0.0);
-        if self.trial.is_none() && self.released.is_none() {
-            self.before.add(0.0);
-        }
-    }
-
     /// The share of draws in which the first arm is best, even with a handicap.
     fn pi(rng: &mut Pcg64Mcg, first: &Arm, second: &Arm, handicap: f64) -> f64 {
         let posterior = |arm: &Arm| {
@@ -213,7 +196,7 @@
         let chances = (1..).scan((-expected).exp(), |chance, k| {
             Some(std::mem::replace(chance, *chance * expected / f64::from(k)))
         });
-        chances.take(faults.round() as usize).sum()
+        chances.take(faults.min(MOST_FAULTS).round() as usize).sum()
     }
 
     /// Adds the tallies that came since: trial against earlier within each period and product, so that
@@ -259,7 +242,6 @@
         if (0..s.id.len()).filter(of_trial).map(|i| s.arms[SCORE][i].count).sum::<f64>() > FADE_FROM {
             s.arms.iter_mut().flatten().for_each(|arm| arm.fade(half(FADE_HALF)));
         }
-        self.now.iter_mut().for_each(|arm| arm.fade(half(NOW_HALF)));
         let share = half(TALLY_HALF);
         self.tallied_pace.fade(share);
         self.tallied_faults *= share;
@@ -295,38 +277,20 @@
         sight.earlier.retain(lives);
         let (trial, earlier) = (&sight.trial, &sight.earlier);
         self.alone = earlier.is_empty();
-        // Lower than before by more than chance: two standard errors on top of the margin.
-        let below = |arm: &Arm, least: f64| {
-            arm.count >= LEAST_OUTCOMES && arm.mean + 2.0 * arm.squares.sqrt() / arm.count < least
-        };
-        let worse =
-            below(&self.now[SCORE], self.before.mean - UNWELL_SCORE) || below(&self.now[PACE], -PACE_MARGIN);
-        self.worse_at = if worse && !sight.dead { now } else { self.worse_at };
-        self.unwell = now - self.worse_at < SLOT;
         let on_trial = self.trial == Some(news.build) && news.phase == Phase::OnTrial;
         let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
         self.released = (news.phase == Phase::Released && now - at < WATCH).then_some((news.build, at));
         let full = on_trial && (news.cap >= 1.0 || self.alone);
         let expected = FAULT_MARGIN * self.tallied_expected / CLUSTERS;
         let failing = Self::rare(expected, self.tallied_faults / CLUSTERS);
-        // What one gateway alone saw fall is its own trouble unless the tallies of all fell too.
-        let seen = if self.answers[1] >= LEAST_OUTCOMES { failing } else { 1.0 };
         let mut found = vec![(0.5, "nothing")];
-        let mut scores = Arm::pool(&s.arms[SCORE], trial, None);
+        let scores = Arm::pool(&s.arms[SCORE], trial, None);
         if on_trial && !full {
             found.push((Self::pi_by(rng, &s.arms[SCORE], trial, earlier, 0.0), "score"));
             // A lone machine may well be slow by itself: only a second one can tell.
             if trial.len() > 1 {
                 found.push((Self::pi_by(rng, &s.arms[PACE], trial, earlier, PACE_MARGIN), "pace"));
             }
-        } else if full && !self.alone && !self.unwell {
-            // The build carries nearly all, so only the time before had a like load; that the earlier ones,
-            // idle by now, are well tells that nothing else has come over the fleet.
-            found.push((Self::pi(rng, &self.before, &scores, UNWELL_SCORE).min(seen), "rehearsal"));
-        } else if (full || self.released.is_some()) && !sight.dead {
-            scores = if on_trial { scores } else { self.now[SCORE] };
-            let pi = Self::pi(rng, &self.before, &scores, COLLAPSE).min(seen);
-            found.push((pi, "collapse since the time before"));
         }
         if on_trial || self.released.is_some() {
             if !sight.dead {
@@ -391,7 +355,7 @@
             // The further it is, the more a wrong step costs, and one vote of the least informed is enough.
             None => self.enough || since_start >= FEW_PATIENCE * f64::from(news.stage + 1),
         };
-        if fit && heard && !self.unwell { Verdict::On } else { Verdict::None }
+        if fit && heard { Verdict::On } else { Verdict::None }
     }
 
     fn cast(&mut self, rng: &mut Pcg64Mcg, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Out) {
@@ -815,9 +779,6 @@
     /// The gate of all final answers: declined where trying again is harmless, voided otherwise.
     fn answer(&mut self, id: TxnId, now: Ms) {
         let Some(txn) = self.txns.get(&id).filter(|txn| !txn.answered) else { return };
-        if txn.submissions.is_empty() {
-            self.judge.note_given_up();
-        }
         let product = &self.products[txn.product];
         let harmless = match product.effect {
             Effect::InquiryLike => true,
--- a/src/state.rs
+++ b/src/state.rs
@@ -260,13 +260,8 @@
     pub stands: bool,
     /// The chance that this gateway is one of those that vote.
     pub voters: f64,
-    /// While no build was on trial: share in time, and mean log pace per product.
-    pub before: Arm,
+    /// Mean log pace per product, while no build was on trial.
     pub base: Vec<Arm>,
-    /// Score and pace just now of the instances that are not on trial.
-    pub now: [Arm; 2],
-    pub unwell: bool,
-    pub worse_at: Ms,
     /// No earlier instance answers any more.
     pub alone: bool,
     /// What the platform counted, not yet weighed, by product: of the others, and of the watched build.
