--- a/src/choice.rs
+++ b/src/choice.rs
@@ -181,16 +181,6 @@
         wins / draws
     }
 
-    /// π by one kind of arm; a single machine far worse than the rest of its build does not count.
-    fn pi_by(rng: &mut Pcg64Mcg, arms: &[Arm], trial: &[usize], earlier: &[usize], handicap: f64) -> f64 {
-        let (old, new) = (Arm::pool(arms, earlier, None), Arm::pool(arms, trial, None));
-        let pi = Self::pi(rng, &old, &new, handicap);
-        let harm = |i: &usize| arms[*i].count * (new.mean - arms[*i].mean);
-        let worst = trial.iter().copied().max_by(|a, b| harm(a).total_cmp(&harm(b)));
-        let rest = Arm::pool(arms, trial, worst);
-        if rest.count < LEAST_OUTCOMES { pi } else { pi.min(Self::pi(rng, &old, &rest, handicap)) }
-    }
-
     /// The chance of fewer faults than these where so many are expected.
     fn rare(expected: f64, faults: f64) -> f64 {
         let chances = (1..).scan((-expected).exp(), |chance, k| {
@@ -284,12 +274,14 @@
         let expected = FAULT_MARGIN * self.tallied_expected / CLUSTERS;
         let failing = Self::rare(expected, self.tallied_faults / CLUSTERS);
         let mut found = vec![(0.5, "nothing")];
-        let scores = Arm::pool(&s.arms[SCORE], trial, None);
+        let old = |kind: usize| Arm::pool(&s.arms[kind], earlier);
+        let new = |kind: usize| Arm::pool(&s.arms[kind], trial);
+        let scores = new(SCORE);
         if on_trial && !full {
-            found.push((Self::pi_by(rng, &s.arms[SCORE], trial, earlier, 0.0), "score"));
+            found.push((Self::pi(rng, &old(SCORE), &new(SCORE), 0.0), "score"));
             // A lone machine may well be slow by itself: only a second one can tell.
             if trial.len() > 1 {
-                found.push((Self::pi_by(rng, &s.arms[PACE], trial, earlier, PACE_MARGIN), "pace"));
+                found.push((Self::pi(rng, &old(PACE), &new(PACE), PACE_MARGIN), "pace"));
             }
         }
         if on_trial || self.released.is_some() {
@@ -312,7 +304,7 @@
         let is_sure = found.iter().any(|(pi, why)| sure_of(*pi, why));
         let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         (self.pi, self.outcomes) = (pi, scores.count);
-        let compared = full || Arm::pool(&s.arms[SCORE], earlier, None).count >= LEAST_OUTCOMES;
+        let compared = full || old(SCORE).count >= LEAST_OUTCOMES;
         let own = scores.count >= LEAST_OUTCOMES && compared;
         self.enough = on_trial && (own || self.tallied >= LEAST_OUTCOMES);
         self.sure_since = if is_sure { self.sure_since.or(Some(now)) } else { None };
--- a/src/state.rs
+++ b/src/state.rs
@@ -94,9 +94,9 @@
     }
 
     /// The arms of several instances as one.
-    pub fn pool(arms: &[Arm], members: &[usize], left_out: Option<usize>) -> Arm {
+    pub fn pool(arms: &[Arm], members: &[usize]) -> Arm {
         let mut sum = Arm::default();
-        members.iter().filter(|i| Some(**i) != left_out).for_each(|i| sum.merge(&arms[*i]));
+        members.iter().for_each(|i| sum.merge(&arms[*i]));
         sum
     }
 
