--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,13 +23,11 @@
 const DELTA: f64 = 0.05; // chance of a wrong way back (design page), shared among all that may vote it alone
 const DOUBT: f64 = 0.8; // π of the earlier build above which nothing goes on (design page)
 const SURE_FOR: Ms = 1000.0; // ms that π must stay above 1 - δ (design page)
-const HARD_SURE_FOR: Ms = 4000.0; // ms the same where few machines or only the time before can tell
 const SETTLE: Ms = 3000.0; // ms after the newest trial start before going on (design page)
 const FEW_PATIENCE: Ms = 4000.0; // ms per stage after that start in which too few outcomes make it wait
 const FADE_HALF: Ms = 4000.0; // ms in which an outcome's weight halves: long for power, short for late harm
 const FADE_FROM: f64 = 60.0; // outcomes on trial from which old ones fade: few are all there is to judge by
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
-const FEW_MACHINES: usize = 3; // fewer on trial may be slow or sick by themselves
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
 const CLUSTERS: f64 = 3.0; // failures in tallies that come as one: time-outs cluster, and few machines may be sick
 const COLLAPSE: f64 = 0.2; // share of failures on top of those before the trial that no good build costs
@@ -38,8 +36,6 @@
 const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: costs little
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
-const LOST_FOR: Ms = 30_000.0; // ms that an instance gone from the list without a drain counts as dead
-const DEAD_SHARE: f64 = 0.15; // share of dead instances above which trouble is the machines'
 const LOOKS: f64 = 10.0; // looks at new tallies of one build, which share δ
 const TALLY_HALF: Ms = 8000.0; // ms in which the weight of tallies halves: several periods of few counts
 const TALLY_FADE: f64 = 0.9; // weight kept per tally of the time before
@@ -285,7 +281,7 @@
             }
         }
         if on_trial || self.released.is_some() {
-            if !sight.dead {
+            if true {
                 found.push((failing, "tallies"));
                 // Flags that gateways told each other, against those of other builds per answer.
                 let share = self.answers[1] / self.answers[0].max(1.0);
@@ -308,9 +304,7 @@
         let own = scores.count >= LEAST_OUTCOMES && compared;
         self.enough = on_trial && (own || self.tallied >= LEAST_OUTCOMES);
         self.sure_since = if is_sure { self.sure_since.or(Some(now)) } else { None };
-        let hard = self.alone || !on_trial || trial.len() < FEW_MACHINES || sight.dead;
-        let sure_for = if hard { HARD_SURE_FOR } else { SURE_FOR };
-        let sure = self.sure_since.is_some_and(|since| now - since >= sure_for);
+        let sure = self.sure_since.is_some_and(|since| now - since >= SURE_FOR);
         if self.condemned != Some(news.build) && sure {
             self.condemned = Some(news.build);
             let counts = (scores.count, trial.len(), self.tallied_faults, self.tallied_expected);
@@ -320,8 +314,7 @@
             );
             self.verdict_log = Some(format!("build {} found bad at stage {}: {by}", news.build, news.stage));
         }
-        // A release takes the earlier machines away: not while many are dead and every one is needed.
-        let fit = on_trial && !trial.is_empty() && (!full || self.alone || !sight.dead);
+        let fit = on_trial && !trial.is_empty();
         let since_start = if fit { now - newest } else { f64::NEG_INFINITY };
         let verdict = self.verdict(s, news, since_start, now);
         self.cast(rng, news, verdict, now, out);
@@ -387,7 +380,6 @@
             ListKind::Whole | ListKind::Changes => None,
         };
         self.failures *= u32::from(kind == ListKind::Failed);
-        let was = self.servers.ready.clone();
         let whole = matches!(kind, ListKind::Whole | ListKind::Cached);
         self.servers.ready.iter_mut().for_each(|ready| *ready &= !whole);
         for entry in entries {
@@ -402,11 +394,6 @@
             }
             s.relist(i, entry);
         }
-        for i in (0..was.len()).filter(|i| was[*i] && !self.servers.ready[*i]) {
-            let drains =
-                |entry: &Listing| self.index[&entry.instance] == i && entry.state == Standing::Draining;
-            self.servers.lost_at[i] = if entries.iter().any(drains) { f64::NEG_INFINITY } else { now };
-        }
         self.lowest = self.ready().map(|i| self.servers.build[i]).min().unwrap_or(0);
     }
 
@@ -437,15 +424,6 @@
         }
     }
 
-    /// Many instances are dead or left the list without a drain: machines are the likelier cause of trouble.
-    fn many_dead(&self, now: Ms) -> bool {
-        let s = &self.servers;
-        let lost = |i: &usize| !s.ready[*i] && now - s.lost_at[*i] < LOST_FOR;
-        let dead = |i: &usize| s.aside_until[*i] > now && s.last_answer[*i] < now - DEAD_AFTER;
-        let gone = (0..s.id.len()).filter(lost).count();
-        (gone + self.ready().filter(dead).count()) as f64 > DEAD_SHARE * (gone + self.ready().count()) as f64
-    }
-
     fn cold_room(&self, i: usize, now: Ms) -> bool {
         self.warmth(i, now) >= 1.0 || self.servers.cold_part[i] >= 1.0
     }
@@ -920,7 +898,7 @@
         let (trial, earlier) = self.sides();
         let warmth =
             trial.iter().map(|i| self.fleet.warmth(*i, now)).sum::<f64>() / trial.len().max(1) as f64;
-        let sight = Sight { trial, earlier, dead: self.fleet.many_dead(now), warmth, now };
+        let sight = Sight { trial, earlier, warmth, now };
         if let Some(news) = &self.exposure.news {
             self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.out);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -147,7 +147,6 @@
     pub last_answer: Vec<Ms>,
     pub errors: Vec<f64>,
     pub aside_until: Vec<Ms>,
-    pub lost_at: Vec<Ms>,
     pub aside_times: Vec<u32>,
     /// Arms by kind, then by instance.
     pub arms: [Vec<Arm>; 2],
@@ -176,7 +175,6 @@
         self.last_answer.push(0.0);
         self.errors.push(0.0);
         self.aside_until.push(0.0);
-        self.lost_at.push(f64::NEG_INFINITY);
         self.aside_times.push(0);
         self.arms.iter_mut().for_each(|arms| arms.push(Arm::default()));
         self.silent.push(0);
@@ -230,8 +228,6 @@
 pub struct Sight {
     pub trial: Vec<usize>,
     pub earlier: Vec<usize>,
-    /// Many instances are dead: slowness then is not the build's.
-    pub dead: bool,
     /// Mean capacity that the instances on trial have at least.
     pub warmth: f64,
     pub now: Ms,
