--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,6 @@
 use rand_distr::{Distribution, StudentT};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
 
 type Out = Vec<Action>;
 
@@ -248,9 +247,6 @@
         &mut self, rng: &mut Pcg64Mcg, s: &mut Servers, mut sight: Sight, news: &StageNews, out: &mut Out,
     ) {
         let now = sight.now;
-        if now - self.judged < JUDGE_EVERY {
-            return;
-        }
         self.refresh(s, sight.trial.first().map(|i| s.build[*i]), now - self.judged);
         if (news.build, news.stage) != self.stage {
             (self.stage, self.tallied) = ((news.build, news.stage), 0.0);
@@ -281,18 +277,16 @@
             }
         }
         if on_trial || self.released.is_some() {
-            if true {
-                found.push((failing, "tallies"));
-                // Flags that gateways told each other, against those of other builds per answer.
-                let share = self.answers[1] / self.answers[0].max(1.0);
-                let expected = FAULT_MARGIN * (self.flags[0] + 1.0) * share;
-                let heard = self.answers[1].min(self.answers[0]) >= LEAST_OUTCOMES;
-                let flags = if heard { self.flags[1] } else { 0.0 };
-                found.push((Self::rare(expected, flags), "flags beside tallies"));
-                let even = Arm { count: 1e6, mean: 0.0, squares: 0.0 };
-                let pi = Self::pi(rng, &even, &self.tallied_pace, PACE_MARGIN);
-                found.push((pi, "times in tallies"));
-            }
+            found.push((failing, "tallies"));
+            // Flags that gateways told each other, against those of other builds per answer.
+            let share = self.answers[1] / self.answers[0].max(1.0);
+            let expected = FAULT_MARGIN * (self.flags[0] + 1.0) * share;
+            let heard = self.answers[1].min(self.answers[0]) >= LEAST_OUTCOMES;
+            let flags = if heard { self.flags[1] } else { 0.0 };
+            found.push((Self::rare(expected, flags), "flags beside tallies"));
+            let even = Arm { count: 1e6, mean: 0.0, squares: 0.0 };
+            let pi = Self::pi(rng, &even, &self.tallied_pace, PACE_MARGIN);
+            found.push((pi, "times in tallies"));
         }
         // Tallies are the same for all: their δ is shared among looks, not among gateways.
         let sure_of =
@@ -476,18 +470,7 @@
     fleet: Fleet,
     exposure: Exposure,
     judge: Judge,
-    txns: BTreeMap<TxnId, Txn>,
-    waiting: Vec<TxnId>,
-    typical: Vec<Ms>, // usual time of an answer, by product
-    resends: f64,
-    service: BTreeMap<Option<String>, Service>, // by tenant
-    all_service: Service,
-    longest: Vec<Ms>, // time left to a first try, by product
-    look_at: Ms,
-    wake_at: Ms,
-    asked: bool,
-    stalled: Ms, // until when this gateway stood still
-    out: Vec<Action>,
+    desk: Desk,
 }
 
 impl Choice {
@@ -495,97 +478,58 @@
         seed: u64, place: Place, products: Vec<Product>, permits: Permits, list: ListTerms, cold: ColdStart,
         exposure: ExposureTerms, votes: VoteTerms, costs: Costs,
     ) -> Self {
-        let count = products.len();
+        let (count, gateways) = (products.len(), f64::from(place.gateways.max(1)));
         // One vote of many that each look often: the chance of a wrong one is shared.
-        let peeking = f64::from(place.gateways) / f64::from(votes.to_revert.max(1));
-        let (delta, base) = (DELTA / peeking.max(1.0), vec![Arm::default(); count]);
+        let delta = DELTA / (gateways / f64::from(votes.to_revert.max(1))).max(1.0);
         let needed = f64::from(votes.to_go.max(votes.to_pause).max(votes.to_revert).max(1));
-        let (voters, arrivals) =
-            (VOTERS * needed / f64::from(place.gateways.max(1)), vec![Times::default(); count]);
+        let voters = VOTERS * needed / gateways;
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        // All start at once, and one service answers all calls for the list in turn.
+        let ask_at = list.asked.then(|| rng.random_range(0.0..=ASK_SPREAD * list.ask_within));
+        // The logs of a few tell what hundreds see.
+        let logs = f64::from(place.me) < VOTERS;
         Choice {
-            // The logs of a few tell what hundreds see.
-            fleet: Fleet { terms: list, cold, logs: f64::from(place.me) < VOTERS, ..Default::default() },
-            exposure: Exposure { terms: exposure, arrivals, ..Default::default() },
-            judge: Judge {
-                terms: votes,
-                delta,
-                base,
-                voters,
-                tallies: vec![Default::default(); count],
-                tallied_before: vec![Default::default(); count],
-                ..Default::default()
-            },
-            typical: products.iter().map(|product| product.sla / 4.0).collect(),
-            rng: Pcg64Mcg::seed_from_u64(seed),
+            fleet: Fleet { terms: list, cold, logs, ask_at, ..Fleet::default() },
+            exposure: Exposure::new(exposure, count),
+            judge: Judge::new(votes, delta, voters, count),
+            desk: Desk::new(products.iter().map(|product| product.sla / 4.0).collect(), RESEND_SAVED),
             zone: place.zone,
             products,
             permits,
             costs,
-            txns: BTreeMap::new(),
-            waiting: Vec::new(),
-            resends: RESEND_SAVED,
-            service: BTreeMap::new(),
-            all_service: Service::default(),
-            longest: vec![0.0; count],
-            look_at: 0.0,
-            wake_at: f64::INFINITY,
-            asked: false,
-            stalled: f64::NEG_INFINITY,
-            out: Vec::new(),
+            rng,
         }
     }
 
     /// The one entry: what happened since, in order, and what is to be done about it.
     pub fn decide(&mut self, now: Ms, news: Vec<Event>) -> Vec<Action> {
         // A gateway that stood still learns nothing from the times of what it had out.
-        if now > self.wake_at + STALL {
-            self.stalled = now;
+        if now > self.desk.wake_at + STALL {
+            self.desk.stalled = now;
         }
         for event in news {
             self.hear(event, now);
         }
-        if self.fleet.terms.asked && self.fleet.ask_at.is_none() && !self.asked {
-            // All start at once, and the list serves them in turn.
-            self.asked = true;
-            self.fleet.ask_at =
-                Some(now + self.rng.random_range(0.0..ASK_SPREAD * self.fleet.terms.ask_within));
-        }
-        if self.look_at <= now + ROUNDING {
+        if self.desk.look_at <= now + ROUNDING {
             self.look_round(now);
         }
         self.serve_waiting(now);
-        let due = self.next_look(now);
-        self.look_at = self.look_at.min(due);
-        if self.look_at < self.wake_at || self.wake_at <= now + ROUNDING {
-            self.wake_at = self.look_at;
-            self.out.push(Action::Wake { after: (self.look_at - now).max(0.0), token: "look".to_string() });
-        }
-        std::mem::take(&mut self.out)
-    }
-
-    /// When there is something to look at without news: idle gateways rest.
-    fn next_look(&self, now: Ms) -> Ms {
-        let judged = if self.judge.trial.is_some() || self.judge.released.is_some() { 1.0 } else { IDLE };
-        let asks = self.fleet.ask_at.unwrap_or(f64::INFINITY);
-        let txns = if self.waiting.is_empty() { 0 } else { 1 };
-        let first = now + if txns > 0 { TICK } else { judged * JUDGE_EVERY };
-        let open = self.txns.values().filter(|txn| !txn.streaming);
-        let next = open.map(|txn| self.due(txn, now)).fold(first.min(asks), f64::min);
-        next.max(now + TICK)
-    }
-
-    /// When a txn is next to be looked at: a submission out for too long, or its expiry.
-    fn due(&self, txn: &Txn, now: Ms) -> Ms {
-        let patience = self.patience(txn);
-        let out = txn.submissions.iter().filter(|sub| sub.ending.is_none());
-        let stuck = out.map(|sub| sub.sent + patience).filter(|at| *at > now);
-        stuck.fold(if txn.answered { f64::INFINITY } else { txn.expires }, f64::min)
-    }
-
-    fn patience(&self, txn: &Txn) -> Ms {
-        let usual = self.typical[txn.product].max(txn.work.unwrap_or(0.0));
-        let sla = self.products[txn.product].sla;
-        (PATIENCE * sla).max(HEAVY * usual).min(sla)
+        // Idle gateways rest: there are hundreds.
+        let asks = self
+            .fleet
+            .ask_at
+            .filter(|_| self.fleet.terms.asked)
+            .map_or(f64::INFINITY, |at| at.max(now + TICK));
+        let busy = self.judge.trial.is_some() || self.judge.released.is_some();
+        let rest = if self.desk.txns.is_empty() { JUDGE_EVERY * if busy { 1.0 } else { IDLE } } else { TICK };
+        self.desk.look_at = self.desk.look_at.min(now + rest).min(asks);
+        if self.desk.look_at < self.desk.wake_at || self.desk.wake_at <= now + ROUNDING {
+            self.desk.wake_at = self.desk.look_at;
+            self.desk
+                .out
+                .push(Action::Wake { after: (self.desk.look_at - now).max(0.0), token: "look".to_string() });
+        }
+        std::mem::take(&mut self.desk.out)
     }
 
     fn hear(&mut self, event: Event, now: Ms) {
@@ -593,30 +537,30 @@
             Event::Fleet { kind, entries, .. } => self.fleet.hear(&mut self.rng, kind, &entries, now),
             Event::Txn { id, product, tenant, key, left, work, repeat, .. } => {
                 let Some(product) = self.products.iter().position(|known| known.name == product) else {
-                    return self.out.push(Action::Void { id });
+                    return self.desk.out.push(Action::Void { id });
                 };
                 if !repeat {
                     self.fleet.arrivals.note(now, 2.0 * RATE_SPAN);
                 }
                 let (lane, keep) = (self.exposure.lane(product), 2.0 * self.exposure.terms.window);
                 self.exposure.arrivals[lane].note(now, keep);
-                self.resends = (self.resends + RESEND_SHARE).min(RESEND_SAVED);
+                self.desk.resends = (self.desk.resends + RESEND_SHARE).min(RESEND_SAVED);
                 // Less time than a first try gets: a repeat, whose SLA time began with the first.
-                let usual = self.longest[product].max(left);
-                self.longest[product] = usual;
+                let usual = self.desk.longest[product].max(left);
+                self.desk.longest[product] = usual;
                 let known = &self.products[product];
                 let sla = known.sla_for(work);
                 let late = repeat && left < usual - MARGIN && left >= sla;
                 let sla = if late { (sla - (known.expiry - left)).max(0.0) } else { sla };
                 let shed = self.shed_share(&tenant, now) * if repeat { REPEATS_SHED } else { 1.0 };
                 let shed = self.rng.random::<f64>() < shed;
-                self.txns.insert(id, Txn::new(product, tenant, key, work, now, left, sla));
+                self.desk.txns.insert(id, Txn::new(product, tenant, key, work, now, left, sla));
                 if shed {
                     return self.answer(id, now);
                 }
-                self.waiting.push(id);
+                self.desk.waiting.push(id);
             }
-            Event::Began { id, .. } => drop(self.txns.entry(id).and_modify(|txn| txn.streaming = true)),
+            Event::Began { id, .. } => drop(self.desk.txns.entry(id).and_modify(|txn| txn.streaming = true)),
             Event::Ended { id, submission, ending, closed, took, .. } => {
                 self.ended(id, submission as usize, ending, closed, took, now);
             }
@@ -630,7 +574,7 @@
                 self.judge.note_flag(build);
                 // One flag tells a gateway little, those of hundreds tell of the build: four bytes each.
                 if self.permits.peers {
-                    self.out.push(Action::Tell { to: None, data: build.to_be_bytes().to_vec() });
+                    self.desk.out.push(Action::Tell { to: None, data: build.to_be_bytes().to_vec() });
                 }
             }
             Event::Peer { data, .. } => {
@@ -651,7 +595,7 @@
     }
 
     fn ended(&mut self, id: TxnId, n: usize, ending: Ending, closed: bool, took: Ms, now: Ms) {
-        let Some(txn) = self.txns.get_mut(&id) else { return };
+        let Some(txn) = self.desk.txns.get_mut(&id) else { return };
         let Some(sub) = txn.submissions.get_mut(n).filter(|sub| sub.ending.is_none()) else { return };
         sub.ending = Some(ending);
         let (sub, txn) = (sub.clone(), &*txn);
@@ -660,14 +604,14 @@
         if same {
             servers.in_flight[sub.server] = servers.in_flight[sub.server].saturating_sub(1);
         }
-        if same && sub.sent >= self.stalled {
+        if same && sub.sent >= self.desk.stalled {
             let sla = self.products[txn.product].sla_for(txn.work);
             self.judge.learn(servers, &sub, txn, ending, took, sla);
             let wanted = (QUEUE_SHARE * sla).max(2.0 * txn.work.unwrap_or(0.0));
-            self.fleet.learn(sub.server, ending, took * sub.warmth / wanted, now, &mut self.out);
+            self.fleet.learn(sub.server, ending, took * sub.warmth / wanted, now, &mut self.desk.out);
         }
         if ending == Ending::Settled {
-            let typical = &mut self.typical[txn.product];
+            let typical = &mut self.desk.typical[txn.product];
             *typical += NEWEST * (took - *typical);
             self.exposure.note_answer(&txn.key, sub.build);
         }
@@ -679,8 +623,8 @@
         } else if !txn.answered && txn.outstanding() == 0 && !txn.streaming {
             if now >= txn.in_time - MARGIN || !self.may_resend(id) {
                 self.answer(id, now);
-            } else if !self.waiting.contains(&id) {
-                self.waiting.push(id);
+            } else if !self.desk.waiting.contains(&id) {
+                self.desk.waiting.push(id);
             }
         }
         self.forget(id);
@@ -690,7 +634,9 @@
     /// with those of all tenants here.
     fn shed_share(&mut self, tenant: &Option<String>, now: Ms) -> f64 {
         let mut good = 1.0;
-        for service in [Some(&mut self.all_service), self.service.get_mut(tenant)].into_iter().flatten() {
+        for service in
+            [Some(&mut self.desk.all_service), self.desk.service.get_mut(tenant)].into_iter().flatten()
+        {
             service.fade(now, SHED_HALF);
             good = (service.good + SHED_DOUBT * good) / (service.came + SHED_DOUBT);
         }
@@ -698,7 +644,7 @@
     }
 
     fn may_resend(&self, id: TxnId) -> bool {
-        let txn = &self.txns[&id];
+        let txn = &self.desk.txns[&id];
         let once = self.products[txn.product].effect == Effect::OnceOnly;
         txn.submissions.len() < self.permits.submissions && !(once && txn.may_have_run().next().is_some())
     }
@@ -728,7 +674,7 @@
     }
 
     fn submit(&mut self, id: TxnId, i: usize, now: Ms) -> bool {
-        let txn = &self.txns[&id];
+        let txn = &self.desk.txns[&id];
         if !self.admits(txn, i, now) {
             return false;
         }
@@ -739,16 +685,16 @@
         s.cold_part[i] -= if warmth < 1.0 { 1.0 } else { 0.0 };
         // What is late helps nobody: a limit lets servers drop it unbegun.
         let limit = Some((txn.in_time - now).max(MARGIN));
-        self.out.push(Action::Submit { id, instance: s.id[i].clone(), limit });
+        self.desk.out.push(Action::Submit { id, instance: s.id[i].clone(), limit });
         let (lane, keep) = ((sub.build, self.exposure.lane(txn.product)), 2.0 * self.exposure.terms.window);
         self.exposure.sends.entry(lane).or_default().note(now, keep);
-        self.txns.entry(id).and_modify(|txn| txn.submissions.push(sub));
+        self.desk.txns.entry(id).and_modify(|txn| txn.submissions.push(sub));
         true
     }
 
     /// The gate of all final answers: declined where trying again is harmless, voided otherwise.
     fn answer(&mut self, id: TxnId, now: Ms) {
-        let Some(txn) = self.txns.get(&id).filter(|txn| !txn.answered) else { return };
+        let Some(txn) = self.desk.txns.get(&id).filter(|txn| !txn.answered) else { return };
         let product = &self.products[txn.product];
         let harmless = match product.effect {
             Effect::InquiryLike => true,
@@ -756,18 +702,20 @@
             _ => txn.may_have_run().next().is_none(),
         };
         let come_back = self.permits.come_back.map(|most| product.sla.min(most));
-        self.out.push(if harmless { Action::Decline { id, come_back } } else { Action::Void { id } });
+        self.desk.out.push(if harmless { Action::Decline { id, come_back } } else { Action::Void { id } });
         self.close(id, 0.0, now);
     }
 
     /// Nothing more is sent for this txn; what is still out is called back.
     fn close(&mut self, id: TxnId, good: f64, now: Ms) {
-        let Some(txn) = self.txns.get_mut(&id) else { return };
+        let Some(txn) = self.desk.txns.get_mut(&id) else { return };
         if !std::mem::replace(&mut txn.answered, true)
-            && txn.came >= self.stalled
+            && txn.came >= self.desk.stalled
             && !txn.submissions.is_empty()
         {
-            for service in [&mut self.all_service, self.service.entry(txn.tenant.clone()).or_default()] {
+            for service in
+                [&mut self.desk.all_service, self.desk.service.entry(txn.tenant.clone()).or_default()]
+            {
                 service.fade(now, SHED_HALF);
                 (service.came, service.good) = (service.came + 1.0, service.good + good);
             }
@@ -777,15 +725,17 @@
     }
 
     fn recall(&mut self, id: TxnId, n: usize) {
-        let Some(sub) = self.txns.get_mut(&id).and_then(|txn| txn.submissions.get_mut(n)) else { return };
+        let Some(sub) = self.desk.txns.get_mut(&id).and_then(|txn| txn.submissions.get_mut(n)) else {
+            return;
+        };
         if self.permits.recall && sub.ending.is_none() && !std::mem::replace(&mut sub.recalled, true) {
-            self.out.push(Action::Recall { id, submission: n as u32 });
+            self.desk.out.push(Action::Recall { id, submission: n as u32 });
         }
     }
 
     fn forget(&mut self, id: TxnId) {
-        if self.txns.get(&id).is_some_and(|txn| txn.answered && txn.outstanding() == 0) {
-            self.txns.remove(&id);
+        if self.desk.txns.get(&id).is_some_and(|txn| txn.answered && txn.outstanding() == 0) {
+            self.desk.txns.remove(&id);
         }
     }
 
@@ -796,7 +746,7 @@
 
     /// Two random choices on in-flight, per unit of capacity, among those that are open to the txn.
     fn pick(&mut self, id: TxnId, side: &[usize], now: Ms) -> Option<usize> {
-        let (txn, s) = (&self.txns[&id], &self.fleet.servers);
+        let (txn, s) = (&self.desk.txns[&id], &self.fleet.servers);
         // Better to wait for one that is well than to use up a txn's submissions on those left aside.
         let well = |i: &usize| s.aside_until[*i] <= now;
         let none = !self.fleet.ready().any(|i| well(&i));
@@ -848,39 +798,41 @@
 
     /// Sends what waits, newest first: in order all would be late. Gives up at once what can't be in time.
     fn serve_waiting(&mut self, now: Ms) {
-        if self.waiting.is_empty() {
+        if self.desk.waiting.is_empty() {
             return;
         }
         self.fleet.fill_cold_parts(now);
         let sides = self.sides();
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.retain(|id| self.txns.get(id).is_some_and(|txn| !txn.answered));
-        let rank = |id: &TxnId| (self.products[self.txns[id].product].revenue, self.txns[id].came);
+        let mut waiting = std::mem::take(&mut self.desk.waiting);
+        waiting.retain(|id| self.desk.txns.get(id).is_some_and(|txn| !txn.answered));
+        let rank = |id: &TxnId| (self.products[self.desk.txns[id].product].revenue, self.desk.txns[id].came);
         waiting.sort_by(|a, b| rank(b).partial_cmp(&rank(a)).unwrap_or(Ordering::Equal).then(a.cmp(b)));
         for id in waiting {
-            let txn = &self.txns[&id];
-            let needs = self.typical[txn.product].max(txn.work.unwrap_or(0.0)) * NEEDED;
+            let txn = &self.desk.txns[&id];
+            let needs = self.desk.typical[txn.product].max(txn.work.unwrap_or(0.0)) * NEEDED;
             let hopeless = now + needs > txn.in_time || now >= txn.expires - TICK;
             let gone = now >= txn.in_time - MARGIN;
             match !gone && self.place(id, &sides, now) {
                 true => {}
                 false if hopeless => self.answer(id, now),
-                false => self.waiting.push(id),
+                false => self.desk.waiting.push(id),
             }
         }
     }
 
     /// Every tick: the list, silent instances, txns near their expiry, and the judge.
     fn look_round(&mut self, now: Ms) {
-        self.look_at = f64::INFINITY;
-        if self.fleet.terms.asked && self.fleet.ask_at.is_some_and(|at| at <= now) {
+        self.desk.look_at = f64::INFINITY;
+        if self.fleet.ask_at.is_some_and(|at| at <= now + ROUNDING) {
             self.fleet.ask_at = Some(now + ASK_LOST);
-            self.out.push(Action::Watch { on: true });
+            self.desk.out.push(Action::Watch { on: true });
         }
         let (mut stuck, mut over) = (Vec::new(), Vec::new());
         let s = &self.fleet.servers;
-        for (id, txn) in self.txns.iter().filter(|(_, txn)| !txn.streaming) {
-            let patience = self.patience(txn);
+        for (id, txn) in self.desk.txns.iter().filter(|(_, txn)| !txn.streaming) {
+            let usual = self.desk.typical[txn.product].max(txn.work.unwrap_or(0.0));
+            let sla = self.products[txn.product].sla;
+            let patience = (PATIENCE * sla).max(HEAVY * usual).min(sla);
             let waits = |sub: &Submission| sub.ending.is_none() && now - sub.sent >= patience;
             for (n, sub) in txn.submissions.iter().enumerate().filter(|(_, sub)| waits(sub)) {
                 let same = s.life[sub.server] == sub.life;
@@ -895,12 +847,14 @@
         }
         over.into_iter().for_each(|id| self.answer(id, now));
         stuck.into_iter().for_each(|(id, n)| self.send_elsewhere(id, n, now));
-        let (trial, earlier) = self.sides();
-        let warmth =
-            trial.iter().map(|i| self.fleet.warmth(*i, now)).sum::<f64>() / trial.len().max(1) as f64;
-        let sight = Sight { trial, earlier, warmth, now };
-        if let Some(news) = &self.exposure.news {
-            self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.out);
+        if now - self.judge.judged >= JUDGE_EVERY - ROUNDING
+            && let Some(news) = &self.exposure.news
+        {
+            let (trial, earlier) = self.sides();
+            let warmth =
+                trial.iter().map(|i| self.fleet.warmth(*i, now)).sum::<f64>() / trial.len().max(1) as f64;
+            let sight = Sight { trial, earlier, warmth, now };
+            self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.desk.out);
         }
     }
 
@@ -910,16 +864,16 @@
         if self.shed_share(&None, now) > 0.0 {
             return;
         }
-        let txn = &self.txns[&id];
-        if self.resends < 1.0 || now >= txn.in_time || !self.may_resend(id) {
+        let txn = &self.desk.txns[&id];
+        if self.desk.resends < 1.0 || now >= txn.in_time || !self.may_resend(id) {
             return;
         }
         let recalled = txn.submissions[n].recalled;
         if !self.permits.second_copies {
             self.recall(id, n);
-            self.resends -= f64::from(u8::from(self.permits.recall && !recalled));
+            self.desk.resends -= f64::from(u8::from(self.permits.recall && !recalled));
         } else if self.place(id, &self.sides(), now) {
-            self.resends -= 1.0;
+            self.desk.resends -= 1.0;
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,8 @@
 //! Plain records that the decisions keep; no decisions here.
 
 use crate::api::{
-    Build, ColdStart, Ending, ExposureTerms, ListTerms, Listing, Ms, StageNews, Standing, Verdict, VoteTerms,
+    Action, Build, ColdStart, Ending, ExposureTerms, ListTerms, Listing, Ms, StageNews, Standing, TxnId,
+    Verdict, VoteTerms,
 };
 use std::collections::{BTreeMap, VecDeque};
 
@@ -215,7 +216,6 @@
 }
 
 /// The rule on exposure: what each build on trial got, against what came in.
-#[derive(Default)]
 pub struct Exposure {
     pub terms: ExposureTerms,
     pub news: Option<StageNews>,
@@ -328,3 +328,58 @@
         (self.count, self.failed) = (self.count + count, self.failed + failed);
     }
 }
+
+impl Exposure {
+    pub fn new(terms: ExposureTerms, products: usize) -> Self {
+        let (arrivals, sends, bound) = (vec![Times::default(); products], BTreeMap::new(), BTreeMap::new());
+        Exposure { terms, news: None, arrivals, sends, bound }
+    }
+}
+
+impl Judge {
+    pub fn new(terms: VoteTerms, delta: f64, voters: f64, products: usize) -> Self {
+        let (base, tallied_before) = (vec![Arm::default(); products], vec![Arm::default(); products]);
+        let tallies = vec![Default::default(); products];
+        Judge { terms, delta, voters, base, tallied_before, tallies, ..Judge::default() }
+    }
+}
+
+/// What lies on a gateway's desk: its txns, and when it looks at them.
+pub struct Desk {
+    pub txns: BTreeMap<TxnId, Txn>,
+    pub waiting: Vec<TxnId>,
+    /// Usual time of an answer, and the longest time left to a try, by product.
+    pub typical: Vec<Ms>,
+    pub longest: Vec<Ms>,
+    /// How txns are served: by tenant, and all.
+    pub service: BTreeMap<Option<String>, Service>,
+    pub all_service: Service,
+    /// Further submissions saved up.
+    pub resends: f64,
+    pub look_at: Ms,
+    pub wake_at: Ms,
+    /// Until when this gateway last stood still.
+    pub stalled: Ms,
+    pub out: Vec<Action>,
+}
+
+impl Desk {
+    pub fn new(typical: Vec<Ms>, resends: f64) -> Self {
+        let (look_at, wake_at, stalled) = (0.0, f64::INFINITY, f64::NEG_INFINITY);
+        let (txns, service, all_service) = (BTreeMap::new(), BTreeMap::new(), Service::default());
+        let (longest, waiting, out) = (vec![0.0; typical.len()], Vec::new(), Vec::new());
+        Desk {
+            txns,
+            waiting,
+            typical,
+            longest,
+            service,
+            all_service,
+            resends,
+            look_at,
+            wake_at,
+            stalled,
+            out,
+        }
+    }
+}
