--- a/src/choice.rs
+++ b/src/choice.rs
@@ -236,7 +236,6 @@
             if trial.is_some() && trial != self.watched {
                 self.watched = trial;
                 (self.flags, self.answers) = ([0.0; 2], [0.0; 2]);
-                (self.tallied_pace, self.tallied_faults, self.tallied_expected) = Default::default();
             }
             s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
         }
@@ -249,7 +248,9 @@
         let now = sight.now;
         self.refresh(s, sight.trial.first().map(|i| s.build[*i]), now - self.judged);
         if (news.build, news.stage) != self.stage {
+            // The few machines of an earlier stage may have been sick: each stage tells for itself.
             (self.stage, self.tallied) = ((news.build, news.stage), 0.0);
+            (self.tallied_pace, self.tallied_faults, self.tallied_expected) = Default::default();
         }
         self.weigh_tallies(sight.warmth, news.cap >= 1.0);
         self.judged = now;
