--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,6 +37,7 @@
 const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
 const LOOKS: f64 = 10.0; // looks at new tallies of one build, which share δ
 const TALLY_HALF: Ms = 8000.0; // ms in which the weight of tallies halves: several periods of few counts
+const STAGE_KEPT: f64 = 0.3; // weight kept of an earlier stage's tallies: its few machines may have been sick
 const TALLY_FADE: f64 = 0.9; // weight kept per tally of the time before
 const TALLY_WARM: f64 = 0.7; // capacity of the trial's instances from which tallies compare
 const BASE_FADE: f64 = 0.995; // weight kept per outcome of the time before: some hundreds count
@@ -235,6 +236,7 @@
             (self.trial, self.sure_since, self.rehearsed) = (trial, None, None);
             if trial.is_some() && trial != self.watched {
                 self.watched = trial;
+                (self.tallied_pace, self.tallied_faults, self.tallied_expected) = Default::default();
                 (self.flags, self.answers) = ([0.0; 2], [0.0; 2]);
             }
             s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
@@ -248,9 +250,10 @@
         let now = sight.now;
         self.refresh(s, sight.trial.first().map(|i| s.build[*i]), now - self.judged);
         if (news.build, news.stage) != self.stage {
-            // The few machines of an earlier stage may have been sick: each stage tells for itself.
             (self.stage, self.tallied) = ((news.build, news.stage), 0.0);
-            (self.tallied_pace, self.tallied_faults, self.tallied_expected) = Default::default();
+            self.tallied_pace.fade(STAGE_KEPT);
+            self.tallied_faults *= STAGE_KEPT;
+            self.tallied_expected *= STAGE_KEPT;
         }
         self.weigh_tallies(sight.warmth, news.cap >= 1.0);
         self.judged = now;
@@ -289,9 +292,10 @@
             let pi = Self::pi(rng, &even, &self.tallied_pace, PACE_MARGIN);
             found.push((pi, "times in tallies"));
         }
-        // Tallies are the same for all: their δ is shared among looks, not among gateways.
-        let sure_of =
-            |pi: f64, why: &str| pi > 1.0 - if why.contains("tallies") { DELTA / LOOKS } else { self.delta };
+        // δ is shared among looks, and among gateways where each has its own evidence: tallies are the same for all.
+        let sure_of = |pi: f64, why: &str| {
+            pi > 1.0 - if why.contains("tallies") { DELTA / LOOKS } else { self.delta / LOOKS }
+        };
         let is_sure = found.iter().any(|(pi, why)| sure_of(*pi, why));
         let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         (self.pi, self.outcomes) = (pi, scores.count);
