--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,13 +28,12 @@
 const FADE_FROM: f64 = 60.0; // outcomes on trial from which old ones fade: few are all there is to judge by
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
-const CLUSTERS: f64 = 3.0; // failures in tallies that come as one: time-outs cluster, and few machines may be sick
+const CLUSTERS: f64 = 3.0; // failures in tallies that come as one: in time, and on few sick machines
 const COLLAPSE: f64 = 0.2; // share of failures on top of those before the trial that no good build costs
 const MOST_FAULTS: f64 = 1e4; // failures that are weighed at most: more tell nothing new
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
 const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: costs little
 const REHEARSED: f64 = 0.9; // share it then carries; the rest keeps the earlier build's figures fresh
-const DEAD_AFTER: Ms = 2000.0; // ms without an answer from an instance left aside, then it counts as dead
 const LOOKS: f64 = 10.0; // looks at new tallies of one build, which share δ
 const TALLY_HALF: Ms = 8000.0; // ms in which the weight of tallies halves: several periods of few counts
 const STAGE_KEPT: f64 = 0.3; // weight kept of an earlier stage's tallies: its few machines may have been sick
@@ -50,7 +49,6 @@
 const QUEUE_SHARE: f64 = 0.25; // mean share of the SLA time that answers may take before the cap falls
 const PATIENCE: f64 = 0.5; // share of the SLA time that a silent instance gets before a txn goes elsewhere
 const HEAVY: f64 = 3.0; // times its usual or hinted time that a txn may take without suspicion
-const NEEDED: f64 = 1.0; // times its usual time that must be left for a waiting txn to be sent at all
 const SICK_ERRORS: f64 = 0.6; // share of errors of a sick machine; builds were never met that bad
 const SILENT: u32 = 2; // submissions without an answer, and none from any other, that tell of a dead machine
 const ASIDE: Ms = 500.0; // ms that an instance is left aside at first, doubling
@@ -58,13 +56,13 @@
 const RESEND_SHARE: f64 = 0.15; // further submissions per txn taken: more would feed an overload
 const RESEND_SAVED: f64 = 10.0; // of these that may be saved up
 const MARGIN: Ms = 20.0; // ms kept from the ends of spans that rules set
-const COLD_PART: f64 = 0.5; // share of a cold instance's budget that is used: arrivals may reach twice the capacity
+const COLD_PART: f64 = 0.5; // share of a cold instance's budget used: twice the capacity may come
 const RATE_SPAN: Ms = 2000.0; // ms over which this gateway's own rate is taken
 const RATE_SURGE: f64 = 1.5; // times its usual rate that a burst may raise what cold instances get
 const USUAL_SPAN: Ms = 2500.0; // ms over which the usual rate is taken
 const CROSS_BIAS: f64 = 0.7; // in flight that an instance across zones counts extra, where crossing costs
 const ASK_SPREAD: f64 = 0.2; // share of the time to ask within over which the first calls are spread
-const IDLE: f64 = 4.0; // times longer between judgements while there is nothing to judge
+const IDLE: Ms = 1000.0; // ms between looks while there is nothing to judge
 const ASK_AGAIN: Ms = 500.0; // ms before a failed call for the list or a failed vote is repeated
 const VOTERS: f64 = 8.0; // gateways that vote at each look, of all that would: the platform's calls are few
 const SHED_BELOW: f64 = 0.8; // share of a tenant's txns served well under which some are declined at once
@@ -105,10 +103,8 @@
 
     /// A key that the new build has answered goes to no earlier one while the new one stands.
     fn note_answer(&mut self, key: &Option<String>, build: Build) {
-        let stands = |news: &StageNews| {
-            build > news.build
-                || (build == news.build && matches!(news.phase, Phase::OnTrial | Phase::Released))
-        };
+        let over = |news: &StageNews| matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
+        let stands = |news: &StageNews| build > news.build || (build == news.build && !over(news));
         let binds = self.terms.no_return && self.news.as_ref().is_none_or(stands);
         if let Some(key) = key.as_ref().filter(|_| binds) {
             let bound = self.bound.entry(key.clone()).or_insert(build);
@@ -205,11 +201,8 @@
             let usual = if usual.count > 0.0 { usual.mean } else { 0.0 };
             // Earlier instances that are gone, or idle while the build carries nearly all, are no comparison.
             let alone = full || old.count < LEAST_OUTCOMES.min(new.count);
-            let rate = if alone {
-                (usual + COLLAPSE) / FAULT_MARGIN
-            } else {
-                (old.failed + 1.0) / (old.count + 1.0)
-            };
+            let against_before = (usual + COLLAPSE) / FAULT_MARGIN;
+            let rate = if alone { against_before } else { (old.failed + 1.0) / (old.count + 1.0) };
             self.tallied_faults += new.failed;
             self.tallied_expected += rate * new.count;
             let (ours, theirs) = (new.count - new.failed, old.count - old.failed);
@@ -244,9 +237,7 @@
     }
 
     /// Judges the build on trial, or just released, every so often, and votes.
-    fn judge(
-        &mut self, rng: &mut Pcg64Mcg, s: &mut Servers, mut sight: Sight, news: &StageNews, out: &mut Out,
-    ) {
+    fn judge(&mut self, rng: &mut Pcg64Mcg, s: &mut Servers, sight: Sight, news: &StageNews, out: &mut Out) {
         let now = sight.now;
         self.refresh(s, sight.trial.first().map(|i| s.build[*i]), now - self.judged);
         if (news.build, news.stage) != self.stage {
@@ -258,9 +249,6 @@
         self.weigh_tallies(sight.warmth, news.cap >= 1.0);
         self.judged = now;
         let newest = sight.trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
-        let lives = |i: &usize| s.aside_until[*i] <= now || now - s.last_answer[*i] < DEAD_AFTER;
-        sight.trial.retain(lives);
-        sight.earlier.retain(lives);
         let (trial, earlier) = (&sight.trial, &sight.earlier);
         self.alone = earlier.is_empty();
         let on_trial = self.trial == Some(news.build) && news.phase == Phase::OnTrial;
@@ -283,20 +271,16 @@
         if on_trial || self.released.is_some() {
             found.push((failing, "tallies"));
             // Flags that gateways told each other, against those of other builds per answer.
-            let share = self.answers[1] / self.answers[0].max(1.0);
-            let expected = FAULT_MARGIN * (self.flags[0] + 1.0) * share;
-            let heard = self.answers[1].min(self.answers[0]) >= LEAST_OUTCOMES;
-            let flags = if heard { self.flags[1] } else { 0.0 };
-            found.push((Self::rare(expected, flags), "flags beside tallies"));
+            let [old, new] = self.answers.map(|count| count.max(LEAST_OUTCOMES));
+            let expected = FAULT_MARGIN * (self.flags[0] + 1.0) * new / old;
+            found.push((Self::rare(expected, self.flags[1]), "flags beside tallies"));
             let even = Arm { count: 1e6, mean: 0.0, squares: 0.0 };
             let pi = Self::pi(rng, &even, &self.tallied_pace, PACE_MARGIN);
             found.push((pi, "times in tallies"));
         }
-        // δ is shared among looks, and among gateways where each has its own evidence: tallies are the same for all.
-        let sure_of = |pi: f64, why: &str| {
-            pi > 1.0 - if why.contains("tallies") { DELTA / LOOKS } else { self.delta / LOOKS }
-        };
-        let is_sure = found.iter().any(|(pi, why)| sure_of(*pi, why));
+        // δ is shared among looks, and among gateways but for tallies, which are the same for all.
+        let delta = |why: &str| if why.contains("tallies") { DELTA } else { self.delta } / LOOKS;
+        let is_sure = found.iter().any(|(pi, why)| *pi > 1.0 - delta(why));
         let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         (self.pi, self.outcomes) = (pi, scores.count);
         let compared = full || old(SCORE).count >= LEAST_OUTCOMES;
@@ -306,20 +290,17 @@
         let sure = self.sure_since.is_some_and(|since| now - since >= SURE_FOR);
         if self.condemned != Some(news.build) && sure {
             self.condemned = Some(news.build);
-            let counts = (scores.count, trial.len(), self.tallied_faults, self.tallied_expected);
-            let by = format!(
-                "pi {pi:.3} by {why}, {:.0} outcomes, {} on trial, tallies fail {:.1} against {:.1}",
-                counts.0, counts.1, counts.2, counts.3
-            );
+            let (failed, expected) = (self.tallied_faults, self.tallied_expected);
+            let by = format!("pi {pi:.3} by {why}, tallies fail {failed:.0} against {expected:.0}");
             self.verdict_log = Some(format!("build {} found bad at stage {}: {by}", news.build, news.stage));
         }
         let fit = on_trial && !trial.is_empty();
         let since_start = if fit { now - newest } else { f64::NEG_INFINITY };
-        let verdict = self.verdict(s, news, since_start, now);
+        let verdict = self.verdict(news, since_start, now);
         self.cast(rng, news, verdict, now, out);
     }
 
-    fn verdict(&mut self, s: &mut Servers, news: &StageNews, since_start: Ms, now: Ms) -> Verdict {
+    fn verdict(&mut self, news: &StageNews, since_start: Ms, now: Ms) -> Verdict {
         if self.condemned == Some(news.build) {
             let over = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
             return if over { Verdict::None } else { Verdict::Back };
@@ -330,9 +311,6 @@
         let fit = since_start >= SETTLE && self.pi <= DOUBT;
         // Nothing is capped any more: the trial carries nearly all for a while, and only that counts.
         let rehearses = fit && news.cap >= 1.0 && (self.enough || self.rehearsed.is_some());
-        if rehearses && self.rehearsed.is_none() {
-            s.arms[SCORE].fill(Arm::default());
-        }
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
         let heard = match self.rehearsed {
             Some(since) => self.enough && now - since >= if self.alone { SETTLE } else { REHEARSAL },
@@ -423,10 +401,6 @@
         }
     }
 
-    fn cold_room(&self, i: usize, now: Ms) -> bool {
-        self.warmth(i, now) >= 1.0 || self.servers.cold_part[i] >= 1.0
-    }
-
     fn leave_aside(&mut self, i: usize, why: &str, now: Ms, out: &mut Out) {
         let s = &mut self.servers;
         if s.aside_until[i] <= now {
@@ -520,21 +494,16 @@
         }
         self.serve_waiting(now);
         // Idle gateways rest: there are hundreds.
-        let asks = self
-            .fleet
-            .ask_at
-            .filter(|_| self.fleet.terms.asked)
-            .map_or(f64::INFINITY, |at| at.max(now + TICK));
         let busy = self.judge.trial.is_some() || self.judge.released.is_some();
-        let rest = if self.desk.txns.is_empty() { JUDGE_EVERY * if busy { 1.0 } else { IDLE } } else { TICK };
-        self.desk.look_at = self.desk.look_at.min(now + rest).min(asks);
-        if self.desk.look_at < self.desk.wake_at || self.desk.wake_at <= now + ROUNDING {
-            self.desk.wake_at = self.desk.look_at;
-            self.desk
-                .out
-                .push(Action::Wake { after: (self.desk.look_at - now).max(0.0), token: "look".to_string() });
+        let rest = if busy { JUDGE_EVERY } else { IDLE };
+        let next = now + if self.desk.txns.is_empty() { rest } else { TICK };
+        let desk = &mut self.desk;
+        desk.look_at = desk.look_at.min(next).min(self.fleet.ask_at.map_or(next, |at| at.max(now + TICK)));
+        if desk.look_at < desk.wake_at || desk.wake_at <= now + ROUNDING {
+            desk.wake_at = desk.look_at;
+            desk.out.push(Action::Wake { after: desk.look_at - now, token: "look".to_string() });
         }
-        std::mem::take(&mut self.desk.out)
+        std::mem::take(&mut desk.out)
     }
 
     fn hear(&mut self, event: Event, now: Ms) {
@@ -547,18 +516,17 @@
                 if !repeat {
                     self.fleet.arrivals.note(now, 2.0 * RATE_SPAN);
                 }
-                let (lane, keep) = (self.exposure.lane(product), 2.0 * self.exposure.terms.window);
-                self.exposure.arrivals[lane].note(now, keep);
+                let lane = self.exposure.lane(product);
+                self.exposure.arrivals[lane].note(now, 2.0 * self.exposure.terms.window);
                 self.desk.resends = (self.desk.resends + RESEND_SHARE).min(RESEND_SAVED);
                 // Less time than a first try gets: a repeat, whose SLA time began with the first.
-                let usual = self.desk.longest[product].max(left);
-                self.desk.longest[product] = usual;
-                let known = &self.products[product];
+                let (known, longest) = (&self.products[product], &mut self.desk.longest[product]);
+                *longest = longest.max(left);
                 let sla = known.sla_for(work);
-                let late = repeat && left < usual - MARGIN && left >= sla;
+                let late = repeat && left < *longest - MARGIN && left >= sla;
                 let sla = if late { (sla - (known.expiry - left)).max(0.0) } else { sla };
-                let shed = self.shed_share(&tenant, now) * if repeat { REPEATS_SHED } else { 1.0 };
-                let shed = self.rng.random::<f64>() < shed;
+                let times = if repeat { REPEATS_SHED } else { 1.0 };
+                let shed = self.rng.random::<f64>() < times * self.shed_share(&tenant, now);
                 self.desk.txns.insert(id, Txn::new(product, tenant, key, work, now, left, sla));
                 if shed {
                     return self.answer(id, now);
@@ -573,9 +541,9 @@
             Event::Stage(news) if news.valid => self.exposure.hear(news),
             Event::Stage(news) => self.judge.stands &= !news.answer || news.unsure,
             Event::Flagged { instance, .. } => {
-                let Some(i) = self.fleet.index.get(&instance).copied() else { return };
-                let build = self.fleet.servers.build[i];
-                self.fleet.servers.arms[SCORE][i].zero_one();
+                let (Some(i), s) = (self.fleet.index.get(&instance), &mut self.fleet.servers) else { return };
+                s.arms[SCORE][*i].zero_one();
+                let build = s.build[*i];
                 self.judge.note_flag(build);
                 // One flag tells a gateway little, those of hundreds tell of the build: four bytes each.
                 if self.permits.peers {
@@ -583,9 +551,8 @@
                 }
             }
             Event::Peer { data, .. } => {
-                if let Ok(build) = <[u8; 4]>::try_from(&data[..]) {
-                    self.judge.note_flag(Build::from_be_bytes(build));
-                }
+                let build = <[u8; 4]>::try_from(&data[..]).map(Build::from_be_bytes);
+                build.into_iter().for_each(|build| self.judge.note_flag(build));
             }
             Event::Tally { build, product, count, failed, took, .. } => {
                 let known = self.products.iter().position(|known| known.name == product);
@@ -639,9 +606,7 @@
     /// with those of all tenants here.
     fn shed_share(&mut self, tenant: &Option<String>, now: Ms) -> f64 {
         let mut good = 1.0;
-        for service in
-            [Some(&mut self.desk.all_service), self.desk.service.get_mut(tenant)].into_iter().flatten()
-        {
+        for service in self.desk.services(tenant) {
             service.fade(now, SHED_HALF);
             good = (service.good + SHED_DOUBT * good) / (service.came + SHED_DOUBT);
         }
@@ -674,7 +639,7 @@
             && (txn.outstanding() == 0 || self.permits.second_copies)
             && txn.may_have_run().all(repeatable)
             && s.ready[i]
-            && self.fleet.cold_room(i, now)
+            && (s.cold_part[i] >= 1.0 || self.fleet.warmth(i, now) >= 1.0)
             && self.exposure.admits(txn, product.effect, s.build[i], self.fleet.lowest, now)
     }
 
@@ -714,25 +679,20 @@
     /// Nothing more is sent for this txn; what is still out is called back.
     fn close(&mut self, id: TxnId, good: f64, now: Ms) {
         let Some(txn) = self.desk.txns.get_mut(&id) else { return };
-        if !std::mem::replace(&mut txn.answered, true)
-            && txn.came >= self.desk.stalled
-            && !txn.submissions.is_empty()
-        {
-            for service in
-                [&mut self.desk.all_service, self.desk.service.entry(txn.tenant.clone()).or_default()]
-            {
+        let (tenant, count) = (txn.tenant.clone(), txn.submissions.len());
+        if !std::mem::replace(&mut txn.answered, true) && txn.came >= self.desk.stalled && count > 0 {
+            for service in self.desk.services(&tenant) {
                 service.fade(now, SHED_HALF);
                 (service.came, service.good) = (service.came + 1.0, service.good + good);
             }
         }
-        (0..txn.submissions.len()).for_each(|n| self.recall(id, n));
+        (0..count).for_each(|n| self.recall(id, n));
         self.forget(id);
     }
 
     fn recall(&mut self, id: TxnId, n: usize) {
-        let Some(sub) = self.desk.txns.get_mut(&id).and_then(|txn| txn.submissions.get_mut(n)) else {
-            return;
-        };
+        let txn = self.desk.txns.get_mut(&id);
+        let Some(sub) = txn.and_then(|txn| txn.submissions.get_mut(n)) else { return };
         if self.permits.recall && sub.ending.is_none() && !std::mem::replace(&mut sub.recalled, true) {
             self.desk.out.push(Action::Recall { id, submission: n as u32 });
         }
@@ -781,22 +741,17 @@
             side.iter().map(|i| f64::from(s.in_flight[*i])).sum::<f64>() / side.len().max(1) as f64
         };
         let share = trial.len() as f64 / (trial.len() + earlier.len()).max(1) as f64;
-        let back = self.exposure.news.as_ref().is_some_and(|news| news.phase == Phase::GoingBack);
-        let going = !back;
+        let going = self.exposure.news.as_ref().is_none_or(|news| news.phase != Phase::GoingBack);
         let coin = self.rng.random::<f64>();
         let rehearses = self.judge.rehearsed.is_some() && coin < REHEARSED;
         // Parity of less than a txn in flight at each instance tells little: the coin turns to the share.
         let fair = share + (0.5 - share).max(0.0) * per_server(earlier).min(1.0);
         let picked = coin < fair && per_server(trial) <= per_server(earlier);
         let trial_first = earlier.is_empty() || (going && (rehearses || picked));
-        // Released: the newest build of the earlier ones serves, the others are on their way out.
-        let newest = earlier.iter().map(|i| s.build[*i]).max().unwrap_or(0);
-        let newest: Vec<usize> = earlier.iter().copied().filter(|i| s.build[*i] == newest).collect();
         // The part of a cold instance is small, by chance and soon used: it goes before the coin.
         let cold = earlier.iter().chain(trial.iter().filter(|_| going)).copied();
         let cold = cold.filter(|i| self.fleet.warmth(*i, now) < 1.0).collect();
-        let order =
-            if trial_first { [&cold, trial, &newest, earlier] } else { [&cold, &newest, earlier, trial] };
+        let order = if trial_first { [&cold, trial, earlier] } else { [&cold, earlier, trial] };
         let found = order.into_iter().find_map(|side| self.pick(id, side, now));
         found.is_some_and(|i| self.submit(id, i, now))
     }
@@ -814,7 +769,7 @@
         waiting.sort_by(|a, b| rank(b).partial_cmp(&rank(a)).unwrap_or(Ordering::Equal).then(a.cmp(b)));
         for id in waiting {
             let txn = &self.desk.txns[&id];
-            let needs = self.desk.typical[txn.product].max(txn.work.unwrap_or(0.0)) * NEEDED;
+            let needs = self.desk.typical[txn.product].max(txn.work.unwrap_or(0.0));
             let hopeless = now + needs > txn.in_time || now >= txn.expires - TICK;
             let gone = now >= txn.in_time - MARGIN;
             match !gone && self.place(id, &sides, now) {
@@ -840,8 +795,7 @@
             let patience = (PATIENCE * sla).max(HEAVY * usual).min(sla);
             let waits = |sub: &Submission| sub.ending.is_none() && now - sub.sent >= patience;
             for (n, sub) in txn.submissions.iter().enumerate().filter(|(_, sub)| waits(sub)) {
-                let same = s.life[sub.server] == sub.life;
-                let silent = !same || s.last_answer[sub.server] < sub.sent;
+                let silent = s.life[sub.server] != sub.life || s.last_answer[sub.server] < sub.sent;
                 if silent && !txn.answered && txn.outstanding() == 1 {
                     stuck.push((*id, n));
                 }
@@ -852,13 +806,11 @@
         }
         over.into_iter().for_each(|id| self.answer(id, now));
         stuck.into_iter().for_each(|(id, n)| self.send_elsewhere(id, n, now));
-        if now - self.judge.judged >= JUDGE_EVERY - ROUNDING
-            && let Some(news) = &self.exposure.news
-        {
+        let due = now - self.judge.judged >= JUDGE_EVERY - ROUNDING;
+        if let Some(news) = self.exposure.news.as_ref().filter(|_| due) {
             let (trial, earlier) = self.sides();
-            let warmth =
-                trial.iter().map(|i| self.fleet.warmth(*i, now)).sum::<f64>() / trial.len().max(1) as f64;
-            let sight = Sight { trial, earlier, warmth, now };
+            let warm: f64 = trial.iter().map(|i| self.fleet.warmth(*i, now)).sum();
+            let sight = Sight { warmth: warm / trial.len().max(1) as f64, trial, earlier, now };
             self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.desk.out);
         }
     }
@@ -866,11 +818,9 @@
     /// A txn stuck at a silent instance: a second copy where permitted, else recalled to be sent again.
     fn send_elsewhere(&mut self, id: TxnId, n: usize, now: Ms) {
         // In an overload a second copy only takes another's place.
-        if self.shed_share(&None, now) > 0.0 {
-            return;
-        }
+        let calm = self.shed_share(&None, now) <= 0.0;
         let txn = &self.desk.txns[&id];
-        if self.desk.resends < 1.0 || now >= txn.in_time || !self.may_resend(id) {
+        if !calm || self.desk.resends < 1.0 || now >= txn.in_time || !self.may_resend(id) {
             return;
         }
         let recalled = txn.submissions[n].recalled;
--- a/src/state.rs
+++ b/src/state.rs
@@ -298,6 +298,13 @@
     pub logs: bool,
 }
 
+impl Desk {
+    /// How all txns are served, then those of one tenant.
+    pub fn services(&mut self, tenant: &Option<String>) -> [&mut Service; 2] {
+        [&mut self.all_service, self.service.entry(tenant.clone()).or_default()]
+    }
+}
+
 /// How one tenant's txns are served, old ones faded.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Service {
