--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_distr::{Distribution, StudentT};
 use rand_pcg::Pcg64Mcg;
+use statrs::distribution::{DiscreteCDF, Poisson};
 use std::cmp::Ordering;
 
 type Out = Vec<Action>;
@@ -25,7 +26,7 @@
 const SETTLE: Ms = 3000.0; // ms after the newest trial start before going on (design page)
 const FEW_PATIENCE: Ms = 4000.0; // ms per stage after that start in which too few outcomes make it wait
 const FADE_HALF: Ms = 4000.0; // ms in which an outcome's weight halves: long for power, short for late harm
-const FADE_FROM: f64 = 60.0; // outcomes on trial from which old ones fade: few are all there is to judge by
+const FADE_FROM: f64 = 20.0; // outcomes at an instance from which old ones fade: few are all there is
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
 const CLUSTERS: f64 = 3.0; // failures in tallies that come as one: in time, and on few sick machines
@@ -75,10 +76,6 @@
 const ASK_LOST: Ms = 4000.0; // ms before an unanswered call is taken as lost
 
 impl Exposure {
-    fn lane(&self, product: usize) -> usize {
-        if self.terms.by_product { product } else { 0 }
-    }
-
     /// Cap and stage of a build on trial; one not announced yet counts as in the first stage.
     fn on_trial(&self, build: Build, lowest: Build) -> Option<(f64, u32)> {
         match &self.news {
@@ -175,10 +172,9 @@
 
     /// The chance of fewer faults than these where so many are expected.
     fn rare(expected: f64, faults: f64) -> f64 {
-        let chances = (1..).scan((-expected).exp(), |chance, k| {
-            Some(std::mem::replace(chance, *chance * expected / f64::from(k)))
-        });
-        chances.take(faults.min(MOST_FAULTS).round() as usize).sum()
+        let below = faults.clamp(0.0, MOST_FAULTS).round() as u64;
+        let chances = Poisson::new(expected.max(f64::MIN_POSITIVE));
+        chances.map_or(0.0, |chances| below.checked_sub(1).map_or(0.0, |most| chances.cdf(most)))
     }
 
     /// Adds the tallies that came since: trial against earlier within each period and product, so that
@@ -203,13 +199,13 @@
             let alone = full || old.count < LEAST_OUTCOMES.min(new.count);
             let against_before = (usual + COLLAPSE) / FAULT_MARGIN;
             let rate = if alone { against_before } else { (old.failed + 1.0) / (old.count + 1.0) };
-            self.tallied_faults += new.failed;
-            self.tallied_expected += rate * new.count;
+            self.weighed.failed += new.failed;
+            self.weighed.expected += rate * new.count;
             let (ours, theirs) = (new.count - new.failed, old.count - old.failed);
             if !alone && ours > 0.0 && theirs > 0.0 {
                 let count = ours * theirs / (ours + theirs) / 2.0;
                 let mean = (old.time / (new.time * warmth)).ln();
-                self.tallied_pace.merge(&Arm { count, mean, squares: count });
+                self.weighed.pace.merge(&Arm { count, mean, squares: count });
             }
         }
     }
@@ -217,20 +213,14 @@
     /// Fades what is old; begins all arms together when a build comes on trial, lest earlier trouble count.
     fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms) {
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
-        let of_trial = |i: &usize| Some(s.build[*i]) == trial;
-        if (0..s.id.len()).filter(of_trial).map(|i| s.arms[SCORE][i].count).sum::<f64>() > FADE_FROM {
-            s.arms.iter_mut().flatten().for_each(|arm| arm.fade(half(FADE_HALF)));
-        }
-        let share = half(TALLY_HALF);
-        self.tallied_pace.fade(share);
-        self.tallied_faults *= share;
-        self.tallied_expected *= share;
+        let many = s.arms.iter_mut().flatten().filter(|arm| arm.count > FADE_FROM);
+        many.for_each(|arm| arm.fade(half(FADE_HALF)));
+        self.weighed.fade(half(TALLY_HALF));
         if trial != self.trial {
             (self.trial, self.sure_since, self.rehearsed) = (trial, None, None);
             if trial.is_some() && trial != self.watched {
                 self.watched = trial;
-                (self.tallied_pace, self.tallied_faults, self.tallied_expected) = Default::default();
-                (self.flags, self.answers) = ([0.0; 2], [0.0; 2]);
+                (self.flags, self.answers, self.weighed) = Default::default();
             }
             s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
         }
@@ -242,9 +232,7 @@
         self.refresh(s, sight.trial.first().map(|i| s.build[*i]), now - self.judged);
         if (news.build, news.stage) != self.stage {
             (self.stage, self.tallied) = ((news.build, news.stage), 0.0);
-            self.tallied_pace.fade(STAGE_KEPT);
-            self.tallied_faults *= STAGE_KEPT;
-            self.tallied_expected *= STAGE_KEPT;
+            self.weighed.fade(STAGE_KEPT);
         }
         self.weigh_tallies(sight.warmth, news.cap >= 1.0);
         self.judged = now;
@@ -255,8 +243,8 @@
         let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
         self.released = (news.phase == Phase::Released && now - at < WATCH).then_some((news.build, at));
         let full = on_trial && (news.cap >= 1.0 || self.alone);
-        let expected = FAULT_MARGIN * self.tallied_expected / CLUSTERS;
-        let failing = Self::rare(expected, self.tallied_faults / CLUSTERS);
+        let expected = FAULT_MARGIN * self.weighed.expected / CLUSTERS;
+        let failing = Self::rare(expected, self.weighed.failed / CLUSTERS);
         let mut found = vec![(0.5, "nothing")];
         let old = |kind: usize| Arm::pool(&s.arms[kind], earlier);
         let new = |kind: usize| Arm::pool(&s.arms[kind], trial);
@@ -275,7 +263,7 @@
             let expected = FAULT_MARGIN * (self.flags[0] + 1.0) * new / old;
             found.push((Self::rare(expected, self.flags[1]), "flags beside tallies"));
             let even = Arm { count: 1e6, mean: 0.0, squares: 0.0 };
-            let pi = Self::pi(rng, &even, &self.tallied_pace, PACE_MARGIN);
+            let pi = Self::pi(rng, &even, &self.weighed.pace, PACE_MARGIN);
             found.push((pi, "times in tallies"));
         }
         // δ is shared among looks, and among gateways but for tallies, which are the same for all.
@@ -283,14 +271,13 @@
         let is_sure = found.iter().any(|(pi, why)| *pi > 1.0 - delta(why));
         let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         (self.pi, self.outcomes) = (pi, scores.count);
-        let compared = full || old(SCORE).count >= LEAST_OUTCOMES;
-        let own = scores.count >= LEAST_OUTCOMES && compared;
+        let own = scores.count >= LEAST_OUTCOMES && (full || old(SCORE).count >= LEAST_OUTCOMES);
         self.enough = on_trial && (own || self.tallied >= LEAST_OUTCOMES);
         self.sure_since = if is_sure { self.sure_since.or(Some(now)) } else { None };
         let sure = self.sure_since.is_some_and(|since| now - since >= SURE_FOR);
         if self.condemned != Some(news.build) && sure {
             self.condemned = Some(news.build);
-            let (failed, expected) = (self.tallied_faults, self.tallied_expected);
+            let (failed, expected) = (self.weighed.failed, self.weighed.expected);
             let by = format!("pi {pi:.3} by {why}, tallies fail {failed:.0} against {expected:.0}");
             self.verdict_log = Some(format!("build {} found bad at stage {}: {by}", news.build, news.stage));
         }
@@ -382,10 +369,6 @@
         self.cold.from + (1.0 - self.cold.from) * way
     }
 
-    fn ready(&self) -> impl Iterator<Item = usize> + '_ {
-        (0..self.servers.id.len()).filter(|i| self.servers.ready[*i])
-    }
-
     /// Adds to what each cold instance may get: its part of this gateway's own rate per unit of capacity.
     /// Summed over all gateways, however uneven, that is a fixed share of the budget.
     fn fill_cold_parts(&mut self, now: Ms) {
@@ -599,7 +582,7 @@
                 self.desk.waiting.push(id);
             }
         }
-        self.forget(id);
+        self.desk.forget(id);
     }
 
     /// The share of a tenant's txns to decline at once. A few own txns tell little: they are weighed
@@ -687,7 +670,7 @@
             }
         }
         (0..count).for_each(|n| self.recall(id, n));
-        self.forget(id);
+        self.desk.forget(id);
     }
 
     fn recall(&mut self, id: TxnId, n: usize) {
@@ -698,12 +681,6 @@
         }
     }
 
-    fn forget(&mut self, id: TxnId) {
-        if self.desk.txns.get(&id).is_some_and(|txn| txn.answered && txn.outstanding() == 0) {
-            self.desk.txns.remove(&id);
-        }
-    }
-
     fn sides(&self) -> (Vec<usize>, Vec<usize>) {
         let (lowest, s) = (self.fleet.lowest, &self.fleet.servers);
         self.fleet.ready().partition(|i| self.exposure.on_trial(s.build[*i], lowest).is_some())
--- a/src/state.rs
+++ b/src/state.rs
@@ -264,12 +264,10 @@
     pub tallies: Vec<[Count; 2]>,
     /// Share of failures before the trial, by product.
     pub tallied_before: Vec<Arm>,
-    /// Counted at the present stage; pace against the others; failures, and how many were expected.
+    /// Counted at the present stage; what was weighed.
     pub stage: (Build, u32),
     pub tallied: f64,
-    pub tallied_pace: Arm,
-    pub tallied_faults: f64,
-    pub tallied_expected: f64,
+    pub weighed: Weighed,
     /// Flags heard of by any gateway, and answers in tallies: of the others, and of the watched build.
     pub flags: [f64; 2],
     /// Why the build was found bad, until the vote is cast.
@@ -299,6 +297,13 @@
 }
 
 impl Desk {
+    /// Drops a txn that is answered and has nothing out.
+    pub fn forget(&mut self, id: TxnId) {
+        if self.txns.get(&id).is_some_and(|txn| txn.answered && txn.outstanding() == 0) {
+            self.txns.remove(&id);
+        }
+    }
+
     /// How all txns are served, then those of one tenant.
     pub fn services(&mut self, tenant: &Option<String>) -> [&mut Service; 2] {
         [&mut self.all_service, self.service.entry(tenant.clone()).or_default()]
@@ -336,7 +341,33 @@
     }
 }
 
+/// Tallies of the watched build: its pace against the others, its failures, and how many were expected.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Weighed {
+    pub pace: Arm,
+    pub failed: f64,
+    pub expected: f64,
+}
+
+impl Weighed {
+    pub fn fade(&mut self, share: f64) {
+        self.pace.fade(share);
+        (self.failed, self.expected) = (self.failed * share, self.expected * share);
+    }
+}
+
+impl Fleet {
+    pub fn ready(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.servers.id.len()).filter(|i| self.servers.ready[*i])
+    }
+}
+
 impl Exposure {
+    /// Under which index a product is counted.
+    pub fn lane(&self, product: usize) -> usize {
+        if self.terms.by_product { product } else { 0 }
+    }
+
     pub fn new(terms: ExposureTerms, products: usize) -> Self {
         let (arrivals, sends, bound) = (vec![Times::default(); products], BTreeMap::new(), BTreeMap::new());
         Exposure { terms, news: None, arrivals, sends, bound }
