--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,6 @@
 use rand_distr::{Distribution, StudentT};
 use rand_pcg::Pcg64Mcg;
 use statrs::distribution::{DiscreteCDF, Poisson};
-use std::cmp::Ordering;
 
 type Out = Vec<Action>;
 
@@ -189,19 +188,16 @@
                 usual.merge(&Arm { count: old.count, mean: old.failed / old.count, squares: 0.0 });
             }
             self.tallied += new.count;
-            self.answers[0] += old.count - old.failed;
-            self.answers[1] += new.count - new.failed;
-            if new.count == 0.0 || warmth < TALLY_WARM {
-                continue;
-            }
+            self.answers = [self.answers[0] + old.served(), self.answers[1] + new.served()];
+            let new = if warmth < TALLY_WARM { Count::default() } else { new };
             let usual = if usual.count > 0.0 { usual.mean } else { 0.0 };
             // Earlier instances that are gone, or idle while the build carries nearly all, are no comparison.
             let alone = full || old.count < LEAST_OUTCOMES.min(new.count);
-            let against_before = (usual + COLLAPSE) / FAULT_MARGIN;
-            let rate = if alone { against_before } else { (old.failed + 1.0) / (old.count + 1.0) };
+            let before = (usual + COLLAPSE) / FAULT_MARGIN;
+            let rate = if alone { before } else { (old.failed + 1.0) / (old.count + 1.0) };
             self.weighed.failed += new.failed;
             self.weighed.expected += rate * new.count;
-            let (ours, theirs) = (new.count - new.failed, old.count - old.failed);
+            let (ours, theirs) = (new.served(), old.served());
             if !alone && ours > 0.0 && theirs > 0.0 {
                 let count = ours * theirs / (ours + theirs) / 2.0;
                 let mean = (old.time / (new.time * warmth)).ln();
@@ -243,46 +239,42 @@
         let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
         self.released = (news.phase == Phase::Released && now - at < WATCH).then_some((news.build, at));
         let full = on_trial && (news.cap >= 1.0 || self.alone);
-        let expected = FAULT_MARGIN * self.weighed.expected / CLUSTERS;
-        let failing = Self::rare(expected, self.weighed.failed / CLUSTERS);
-        let mut found = vec![(0.5, "nothing")];
+        // δ is shared among looks, and among gateways but for tallies, which are the same for all.
+        let (of_own, of_all) = (self.delta / LOOKS, DELTA / LOOKS);
+        let mut found = vec![(0.5, of_own, "nothing")];
         let old = |kind: usize| Arm::pool(&s.arms[kind], earlier);
         let new = |kind: usize| Arm::pool(&s.arms[kind], trial);
-        let scores = new(SCORE);
         if on_trial && !full {
-            found.push((Self::pi(rng, &old(SCORE), &new(SCORE), 0.0), "score"));
+            found.push((Self::pi(rng, &old(SCORE), &new(SCORE), 0.0), of_own, "score"));
+            let pace = Self::pi(rng, &old(PACE), &new(PACE), PACE_MARGIN);
             // A lone machine may well be slow by itself: only a second one can tell.
-            if trial.len() > 1 {
-                found.push((Self::pi(rng, &old(PACE), &new(PACE), PACE_MARGIN), "pace"));
-            }
+            found.extend((trial.len() > 1).then_some((pace, of_own, "pace")));
         }
         if on_trial || self.released.is_some() {
-            found.push((failing, "tallies"));
+            let expected = FAULT_MARGIN * self.weighed.expected / CLUSTERS;
+            found.push((Self::rare(expected, self.weighed.failed / CLUSTERS), of_all, "tallies"));
+            let even = Arm { count: 1e6, mean: 0.0, squares: 0.0 };
+            let pace = Self::pi(rng, &even, &self.weighed.pace, PACE_MARGIN);
+            found.push((pace, of_all, "times in tallies"));
             // Flags that gateways told each other, against those of other builds per answer.
             let [old, new] = self.answers.map(|count| count.max(LEAST_OUTCOMES));
             let expected = FAULT_MARGIN * (self.flags[0] + 1.0) * new / old;
-            found.push((Self::rare(expected, self.flags[1]), "flags beside tallies"));
-            let even = Arm { count: 1e6, mean: 0.0, squares: 0.0 };
-            let pi = Self::pi(rng, &even, &self.weighed.pace, PACE_MARGIN);
-            found.push((pi, "times in tallies"));
+            found.push((Self::rare(expected, self.flags[1]), of_all, "flags"));
         }
-        // δ is shared among looks, and among gateways but for tallies, which are the same for all.
-        let delta = |why: &str| if why.contains("tallies") { DELTA } else { self.delta } / LOOKS;
-        let is_sure = found.iter().any(|(pi, why)| *pi > 1.0 - delta(why));
-        let (pi, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
-        (self.pi, self.outcomes) = (pi, scores.count);
-        let own = scores.count >= LEAST_OUTCOMES && (full || old(SCORE).count >= LEAST_OUTCOMES);
+        let is_sure = found.iter().any(|(pi, delta, _)| *pi > 1.0 - delta);
+        let (pi, _, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
+        let own = new(SCORE).count >= LEAST_OUTCOMES && (full || old(SCORE).count >= LEAST_OUTCOMES);
         self.enough = on_trial && (own || self.tallied >= LEAST_OUTCOMES);
+        self.pi = pi;
         self.sure_since = if is_sure { self.sure_since.or(Some(now)) } else { None };
         let sure = self.sure_since.is_some_and(|since| now - since >= SURE_FOR);
         if self.condemned != Some(news.build) && sure {
             self.condemned = Some(news.build);
-            let (failed, expected) = (self.weighed.failed, self.weighed.expected);
+            let Weighed { failed, expected, .. } = self.weighed;
             let by = format!("pi {pi:.3} by {why}, tallies fail {failed:.0} against {expected:.0}");
             self.verdict_log = Some(format!("build {} found bad at stage {}: {by}", news.build, news.stage));
         }
-        let fit = on_trial && !trial.is_empty();
-        let since_start = if fit { now - newest } else { f64::NEG_INFINITY };
+        let since_start = if on_trial && !trial.is_empty() { now - newest } else { f64::NEG_INFINITY };
         let verdict = self.verdict(news, since_start, now);
         self.cast(rng, news, verdict, now, out);
     }
@@ -323,8 +315,10 @@
             out.push(Action::Vote { build, stage, verdict });
             out.extend(self.verdict_log.take().map(Action::Log));
             if last != self.vote && verdict != Verdict::None {
-                let by = format!("pi {:.3}, {:.0} outcomes", self.pi, self.outcomes);
-                out.push(Action::Log(format!("vote {verdict:?} on build {build} stage {stage}: {by}")));
+                out.push(Action::Log(format!(
+                    "vote {verdict:?} on build {build} stage {stage}: pi {:.3}",
+                    self.pi
+                )));
             }
         }
     }
@@ -333,8 +327,7 @@
 impl Fleet {
     fn hear(&mut self, rng: &mut Pcg64Mcg, kind: ListKind, entries: &[Listing], now: Ms) {
         self.ask_at = match kind {
-            // It does not say whether the watch stands: ask again soon, or the gateway is deemed told.
-            // Each failure in a row doubles the wait, at random: all gateways share one service.
+            // The watch may stand or not: ask again, each time later and at random, for all share one service.
             ListKind::Failed => {
                 self.failures += 1;
                 let wait = ASK_AGAIN * f64::from(1u32 << self.failures.min(8)) * rng.random_range(0.5..1.0);
@@ -353,7 +346,7 @@
             if s.life[i] == 0 || s.build[i] != entry.build || entry.since > s.since[i] + 1.0 {
                 // A fresh instance gets little at once; the cap grows with its answers.
                 s.begin_life(i, if entry.since > 0.0 { FRESH_CAP } else { KNOWN_CAP });
-                // By chance, so that of all gateways together few have a submission to spare at once.
+                // By chance: of hundreds of gateways few have a submission to spare at once.
                 s.cold_part[i] = rng.random();
             }
             s.relist(i, entry);
@@ -466,9 +459,7 @@
     /// The one entry: what happened since, in order, and what is to be done about it.
     pub fn decide(&mut self, now: Ms, news: Vec<Event>) -> Vec<Action> {
         // A gateway that stood still learns nothing from the times of what it had out.
-        if now > self.desk.wake_at + STALL {
-            self.desk.stalled = now;
-        }
+        self.desk.stalled = if now > self.desk.wake_at + STALL { now } else { self.desk.stalled };
         for event in news {
             self.hear(event, now);
         }
@@ -511,10 +502,7 @@
                 let times = if repeat { REPEATS_SHED } else { 1.0 };
                 let shed = self.rng.random::<f64>() < times * self.shed_share(&tenant, now);
                 self.desk.txns.insert(id, Txn::new(product, tenant, key, work, now, left, sla));
-                if shed {
-                    return self.answer(id, now);
-                }
-                self.desk.waiting.push(id);
+                if shed { self.answer(id, now) } else { self.desk.waiting.push(id) }
             }
             Event::Began { id, .. } => drop(self.desk.txns.entry(id).and_modify(|txn| txn.streaming = true)),
             Event::Ended { id, submission, ending, closed, took, .. } => {
@@ -556,9 +544,7 @@
         let (sub, txn) = (sub.clone(), &*txn);
         let servers = &mut self.fleet.servers;
         let same = servers.life[sub.server] == sub.life;
-        if same {
-            servers.in_flight[sub.server] = servers.in_flight[sub.server].saturating_sub(1);
-        }
+        servers.in_flight[sub.server] = servers.in_flight[sub.server].saturating_sub(u32::from(same));
         if same && sub.sent >= self.desk.stalled {
             let sla = self.products[txn.product].sla_for(txn.work);
             self.judge.learn(servers, &sub, txn, ending, took, sla);
@@ -743,7 +729,8 @@
         let mut waiting = std::mem::take(&mut self.desk.waiting);
         waiting.retain(|id| self.desk.txns.get(id).is_some_and(|txn| !txn.answered));
         let rank = |id: &TxnId| (self.products[self.desk.txns[id].product].revenue, self.desk.txns[id].came);
-        waiting.sort_by(|a, b| rank(b).partial_cmp(&rank(a)).unwrap_or(Ordering::Equal).then(a.cmp(b)));
+        let order = |a: (f64, Ms), b: (f64, Ms)| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1));
+        waiting.sort_by(|a, b| order(rank(b), rank(a)).then(a.cmp(b)));
         for id in waiting {
             let txn = &self.desk.txns[&id];
             let needs = self.desk.typical[txn.product].max(txn.work.unwrap_or(0.0));
--- a/src/state.rs
+++ b/src/state.rs
@@ -239,9 +239,8 @@
     pub terms: VoteTerms,
     pub delta: f64,
     pub judged: Ms,
-    /// The largest π against the trial, and the trial's outcomes behind it.
+    /// The largest π against the trial.
     pub pi: f64,
-    pub outcomes: f64,
     pub enough: bool,
     pub sure_since: Option<Ms>,
     /// The build now on trial, and the one last so.
@@ -334,6 +333,10 @@
 }
 
 impl Count {
+    pub fn served(&self) -> f64 {
+        self.count - self.failed
+    }
+
     pub fn add(&mut self, count: f64, failed: f64, time: Ms) {
         let (had, more) = (self.count - self.failed, count - failed);
         self.time = (self.time * had + time * more) / (had + more).max(1.0);
