--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,5 +1,4 @@
 //! All decisions of a gateway: where each txn goes, what is given up, how builds are voted on.
-//!
 //! Callers build one [`Choice`] from the records of [`crate::api`], then hand every batch of events with its
 //! clock to [`Choice::decide`] and carry out the actions in order. Nothing else steers it; chance comes from
 //! the seed. The ordinary path is FIESTA's top-two rule, see docs/design.md for what was added and why.
