--- a/src/choice.rs
+++ b/src/choice.rs
@@ -70,6 +70,8 @@
 const SHED_DOUBT: f64 = 3.0; // txns taken as served well beforehand: a gateway may see few
 const ROUNDING: Ms = 1.0; // ms that a timer may come early
 const STALL: Ms = 150.0; // ms that a timer may come late before this gateway's own times mean nothing
+const SUBSET: Ms = 4000.0; // ms in which each instance of a gateway's subset is met: its state is known
+const SUBSET_LEAST: f64 = 8.0; // instances of the smallest subset
 const ASK_LOST: Ms = 4000.0; // ms before an unanswered call is taken as lost
 
 impl Exposure {
@@ -355,7 +357,7 @@
                 // A fresh instance gets little at once; the cap grows with its answers.
                 s.begin_life(i, FRESH_CAP);
                 // By chance: of hundreds of gateways few have a submission to spare at once.
-                s.cold_part[i] = rng.random();
+                (s.cold_part[i], s.spread[i]) = (rng.random(), rng.random());
             }
             s.relist(i, entry);
         }
@@ -377,6 +379,7 @@
         let capacity: f64 = self.ready().map(|i| self.warmth(i, now)).sum();
         let rate = self.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN / capacity.max(1.0);
         self.usual += (since / USUAL_SPAN).min(1.0) * (rate - self.usual);
+        self.part = (SUBSET * self.usual * capacity).max(SUBSET_LEAST) / self.ready().count().max(1) as f64;
         let part = COLD_PART * self.cold.multiple * rate.min(RATE_SURGE * self.usual);
         for i in 0..self.servers.id.len() {
             let gain = part * self.warmth(i, now);
@@ -672,9 +675,10 @@
         }
     }
 
-    fn sides(&self) -> (Vec<usize>, Vec<usize>) {
+    fn sides(&self, subset: bool) -> (Vec<usize>, Vec<usize>) {
         let (lowest, s) = (self.fleet.lowest, &self.fleet.servers);
-        self.fleet.ready().partition(|i| self.exposure.on_trial(s.build[*i], lowest).is_some())
+        let mine = |i: &usize| !subset || s.spread[*i] < self.fleet.part;
+        self.fleet.ready().filter(mine).partition(|i| self.exposure.on_trial(s.build[*i], lowest).is_some())
     }
 
     /// Two random choices on in-flight, per unit of capacity, among those that are open to the txn.
@@ -728,7 +732,7 @@
             return;
         }
         self.fleet.fill_cold_parts(now);
-        let sides = self.sides();
+        let sides = [self.sides(true), self.sides(false)];
         let mut waiting = std::mem::take(&mut self.desk.waiting);
         waiting.retain(|id| self.desk.txns.get(id).is_some_and(|txn| !txn.answered));
         let rank = |id: &TxnId| (self.products[self.desk.txns[id].product].revenue, self.desk.txns[id].came);
@@ -738,7 +742,7 @@
             let txn = &self.desk.txns[&id];
             let needs = self.desk.typical[txn.product].max(txn.work.unwrap_or(0.0));
             let hopeless = now + needs > txn.in_time || now >= txn.expires - TICK;
-            match now < txn.in_time - MARGIN && self.place(id, &sides, now) {
+            match now < txn.in_time - MARGIN && sides.iter().any(|sides| self.place(id, sides, now)) {
                 true => {}
                 false if hopeless => self.answer(id, now),
                 false => self.desk.waiting.push(id),
@@ -774,9 +778,9 @@
         stuck.into_iter().for_each(|(id, n)| self.send_elsewhere(id, n, now));
         let due = now - self.judge.judged >= JUDGE_EVERY - ROUNDING;
         if let Some(news) = self.exposure.news.as_ref().filter(|_| due) {
-            let (trial, earlier) = self.sides();
-            let warm: f64 = trial.iter().map(|i| self.fleet.warmth(*i, now)).sum();
-            let sight = Sight { warmth: warm / trial.len().max(1) as f64, trial, earlier, now };
+            let (trial, earlier) = self.sides(false);
+            let warmth = trial.iter().map(|i| self.fleet.warmth(*i, now)).fold(1.0, f64::min);
+            let sight = Sight { warmth, trial, earlier, now };
             self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.desk.out);
         }
     }
@@ -793,7 +797,7 @@
             let counts = self.permits.recall && !txn.submissions[n].recalled;
             self.recall(id, n);
             self.desk.resends -= f64::from(u8::from(counts));
-        } else if self.place(id, &self.sides(), now) {
+        } else if self.place(id, &self.sides(false), now) {
             self.desk.resends -= 1.0;
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -158,6 +158,8 @@
     pub slow_at: Vec<Ms>,
     /// Submissions that a cold instance may still get from this gateway.
     pub cold_part: Vec<f64>,
+    /// Under which share of the fleet a gateway's subset has it.
+    pub spread: Vec<f64>,
 }
 
 impl Servers {
@@ -182,6 +184,7 @@
         self.slow.push(0.0);
         self.slow_at.push(0.0);
         self.cold_part.push(0.0);
+        self.spread.push(0.0);
         self.id.len() - 1
     }
 
@@ -228,7 +231,7 @@
 pub struct Sight {
     pub trial: Vec<usize>,
     pub earlier: Vec<usize>,
-    /// Mean capacity that the instances on trial have at least.
+    /// Capacity that the coldest instance on trial has at least.
     pub warmth: f64,
     pub now: Ms,
 }
@@ -285,6 +288,8 @@
     /// First tries that came in, their rate per ms and unit of capacity, and its running mean.
     pub arrivals: Times,
     pub usual: f64,
+    /// The share of the instances that is this gateway's subset.
+    pub part: f64,
     /// When the parts of cold instances were last added to.
     pub filled: Ms,
     /// The lowest build on the list.
