--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,6 +72,7 @@
 const STALL: Ms = 150.0; // ms that a timer may come late before this gateway's own times mean nothing
 const SUBSET: Ms = 4000.0; // ms in which each instance of a gateway's subset is met: its state is known
 const SUBSET_LEAST: f64 = 8.0; // instances of the smallest subset
+const REFUSED: f64 = 0.1; // share of connections refused above which none is kept idle
 const ASK_LOST: Ms = 4000.0; // ms before an unanswered call is taken as lost
 
 impl Exposure {
@@ -553,6 +554,12 @@
         let servers = &mut self.fleet.servers;
         let same = servers.life[sub.server] == sub.life;
         servers.in_flight[sub.server] = servers.in_flight[sub.server].saturating_sub(u32::from(same));
+        // Where connections are refused all over, those that idle here take the places of others.
+        let refused = f64::from(u8::from(ending == Ending::NoConnection));
+        self.desk.refused += NEWEST * (refused - self.desk.refused);
+        if self.desk.refused > REFUSED && servers.in_flight[sub.server] == 0 {
+            self.desk.out.push(Action::CloseIdle { instance: servers.id[sub.server].clone() });
+        }
         if same && sub.sent >= self.desk.stalled {
             let sla = self.products[txn.product].sla_for(txn.work);
             self.judge.learn(servers, &sub, txn, ending, took, sla);
--- a/src/state.rs
+++ b/src/state.rs
@@ -402,6 +402,8 @@
     pub all_service: Service,
     /// Further submissions saved up.
     pub resends: f64,
+    /// Share of submissions lately that got no connection.
+    pub refused: f64,
     pub look_at: Ms,
     pub wake_at: Ms,
     /// Until when this gateway last stood still.
@@ -422,6 +424,7 @@
             service,
             all_service,
             resends,
+            refused: 0.0,
             look_at,
             wake_at,
             stalled,
