--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,7 +72,7 @@
 const STALL: Ms = 150.0; // ms that a timer may come late before this gateway's own times mean nothing
 const SUBSET: Ms = 4000.0; // ms in which each instance of a gateway's subset is met: its state is known
 const SUBSET_LEAST: f64 = 8.0; // instances of the smallest subset
-const REFUSED: f64 = 0.1; // share of connections refused above which none is kept idle
+const REFUSED: f64 = 0.02; // share of connections refused above which none is kept idle
 const ASK_LOST: Ms = 4000.0; // ms before an unanswered call is taken as lost
 
 impl Exposure {
@@ -200,10 +200,9 @@
             self.tallied += new.count;
             self.answers = [self.answers[0] + old.served(), self.answers[1] + new.served()];
             let new = if warmth < TALLY_WARM { Count::default() } else { new };
-            let usual = usual.mean;
             // Earlier instances that are gone, or idle while the build carries nearly all, are no comparison.
             let alone = full || old.count < LEAST_OUTCOMES.min(new.count);
-            let before = (usual + COLLAPSE) / FAULT_MARGIN;
+            let before = (usual.mean + COLLAPSE) / FAULT_MARGIN;
             let rate = if alone { before } else { (old.failed + 1.0) / (old.count + 1.0) };
             self.weighed.failed += new.failed;
             self.weighed.expected += rate * new.count;
@@ -325,12 +324,8 @@
             (self.vote, self.voted, self.stands) = (Some(wanted), now, true);
             out.push(Action::Vote { build, stage, verdict });
             out.extend(self.verdict_log.take().map(Action::Log));
-            if last != self.vote && verdict != Verdict::None {
-                out.push(Action::Log(format!(
-                    "vote {verdict:?} on build {build} stage {stage}: pi {:.3}",
-                    self.pi
-                )));
-            }
+            let line = format!("vote {verdict:?} on build {build} stage {stage}: pi {:.3}", self.pi);
+            out.extend((last != self.vote && verdict != Verdict::None).then_some(Action::Log(line)));
         }
     }
 }
@@ -338,7 +333,7 @@
 impl Fleet {
     fn hear(&mut self, rng: &mut Pcg64Mcg, kind: ListKind, entries: &[Listing], now: Ms) {
         self.ask_at = match kind {
-            // The watch may stand or not: ask again, each time later and at random, for all share one service.
+            // The watch may stand or not: ask again, later each time and by chance, for all share one service.
             ListKind::Failed => {
                 self.failures += 1;
                 let wait = ASK_AGAIN * f64::from(1u32 << self.failures.min(8)) * rng.random_range(0.5..1.0);
@@ -395,9 +390,8 @@
             s.aside_until[i] = now + (ASIDE * f64::from(1u32 << s.aside_times[i].min(8))).min(ASIDE_MOST);
             s.aside_times[i] += 1;
             s.in_flight_cap[i] = 1.0;
-            if s.aside_times[i] == 1 && self.logs {
-                out.push(Action::Log(format!("instance {} aside: {why}", s.id[i])));
-            }
+            let line = format!("instance {} aside: {why}", s.id[i]);
+            out.extend((s.aside_times[i] == 1 && self.logs).then_some(Action::Log(line)));
         }
     }
 
@@ -453,7 +447,6 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         // All start at once, and one service answers all calls for the list in turn.
         let ask_at = list.asked.then(|| rng.random_range(0.0..=ASK_SPREAD * list.ask_within));
-        // The logs of a few tell what hundreds see.
         let logs = f64::from(place.me) < VOTERS;
         Choice {
             fleet: Fleet { terms: list, cold, logs, ask_at, ..Fleet::default() },
@@ -537,9 +530,8 @@
             Event::Tally { build, product, count, failed, took, .. } => {
                 let known = self.products.iter().position(|known| known.name == product);
                 let side = usize::from(self.judge.watched == Some(build));
-                let took = took.filter(|took| *took > 0.0).unwrap_or(1.0);
                 if let Some(product) = known.filter(|_| failed <= count) {
-                    self.judge.tallies[product][side].add(count as f64, failed as f64, took);
+                    self.judge.tallies[product][side].add(count as f64, failed as f64, took.unwrap_or(1.0));
                 }
             }
             Event::Timer { .. } | Event::Probed { .. } => {}
@@ -555,8 +547,8 @@
         let same = servers.life[sub.server] == sub.life;
         servers.in_flight[sub.server] = servers.in_flight[sub.server].saturating_sub(u32::from(same));
         // Where connections are refused all over, those that idle here take the places of others.
-        let refused = f64::from(u8::from(ending == Ending::NoConnection));
-        self.desk.refused += NEWEST * (refused - self.desk.refused);
+        self.desk.refused +=
+            NEWEST * (f64::from(u8::from(ending == Ending::NoConnection)) - self.desk.refused);
         if self.desk.refused > REFUSED && servers.in_flight[sub.server] == 0 {
             self.desk.out.push(Action::CloseIdle { instance: servers.id[sub.server].clone() });
         }
@@ -640,8 +632,8 @@
         // What is late helps nobody: a limit lets servers drop it unbegun.
         let limit = Some((txn.in_time - now).max(MARGIN));
         self.desk.out.push(Action::Submit { id, instance: s.id[i].clone(), limit });
-        let (lane, keep) = ((sub.build, self.exposure.lane(txn.product)), 2.0 * self.exposure.terms.window);
-        self.exposure.sends.entry(lane).or_default().note(now, keep);
+        let sends = self.exposure.sends.entry((sub.build, self.exposure.lane(txn.product))).or_default();
+        sends.note(now, 2.0 * self.exposure.terms.window);
         self.desk.txns.entry(id).and_modify(|txn| txn.submissions.push(sub));
         true
     }
@@ -729,8 +721,7 @@
         let cold = earlier.iter().chain(trial.iter().filter(|_| going)).copied();
         let cold = cold.filter(|i| self.fleet.warmth(*i, now) < 1.0).collect();
         let order = if trial_first { [&cold, trial, earlier] } else { [&cold, earlier, trial] };
-        let found = order.into_iter().find_map(|side| self.pick(id, side, now));
-        found.is_some_and(|i| self.submit(id, i, now))
+        order.into_iter().find_map(|side| self.pick(id, side, now)).is_some_and(|i| self.submit(id, i, now))
     }
 
     /// Sends what waits, newest first: in order all would be late. Gives up at once what can't be in time.
@@ -743,12 +734,10 @@
         let mut waiting = std::mem::take(&mut self.desk.waiting);
         waiting.retain(|id| self.desk.txns.get(id).is_some_and(|txn| !txn.answered));
         let rank = |id: &TxnId| (self.products[self.desk.txns[id].product].revenue, self.desk.txns[id].came);
-        let order = |a: (f64, Ms), b: (f64, Ms)| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1));
-        waiting.sort_by(|a, b| order(rank(b), rank(a)).then(a.cmp(b)));
+        waiting.sort_by(|a, b| rank(b).partial_cmp(&rank(a)).unwrap_or(a.cmp(b)).then(a.cmp(b)));
         for id in waiting {
             let txn = &self.desk.txns[&id];
-            let needs = self.desk.typical[txn.product].max(txn.work.unwrap_or(0.0));
-            let hopeless = now + needs > txn.in_time || now >= txn.expires - TICK;
+            let hopeless = now + self.desk.typical[txn.product].max(txn.work.unwrap_or(0.0)) > txn.in_time;
             match now < txn.in_time - MARGIN && sides.iter().any(|sides| self.place(id, sides, now)) {
                 true => {}
                 false if hopeless => self.answer(id, now),
@@ -767,9 +756,8 @@
         let (mut stuck, mut over) = (Vec::new(), Vec::new());
         let s = &self.fleet.servers;
         for (id, txn) in self.desk.txns.iter().filter(|(_, txn)| !txn.streaming) {
-            let usual = self.desk.typical[txn.product].max(txn.work.unwrap_or(0.0));
-            let sla = self.products[txn.product].sla;
-            let patience = (PATIENCE * sla).max(HEAVY * usual).min(sla);
+            let (usual, sla) = (self.desk.typical[txn.product], self.products[txn.product].sla);
+            let patience = (PATIENCE * sla).max(HEAVY * usual.max(txn.work.unwrap_or(0.0))).min(sla);
             let waits = |sub: &Submission| sub.ending.is_none() && now - sub.sent >= patience;
             for (n, sub) in txn.submissions.iter().enumerate().filter(|(_, sub)| waits(sub)) {
                 let silent = s.life[sub.server] != sub.life || s.last_answer[sub.server] < sub.sent;
--- a/src/state.rs
+++ b/src/state.rs
@@ -343,6 +343,7 @@
     }
 
     pub fn add(&mut self, count: f64, failed: f64, time: Ms) {
+        let time = time.max(0.001);
         let (had, more) = (self.count - self.failed, count - failed);
         self.time = (self.time * had + time * more) / (had + more).max(1.0);
         (self.count, self.failed) = (self.count + count, self.failed + failed);
