--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,7 +1,6 @@
 //! All decisions of a gateway: where each txn goes, what is given up, how builds are voted on.
-//! Callers build one [`Choice`] from the records of [`crate::api`], then hand every batch of events with its
-//! clock to [`Choice::decide`] and carry out the actions in order. Nothing else steers it; chance comes from
-//! the seed. The ordinary path is FIESTA's top-two rule, see docs/design.md for what was added and why.
+//! Callers build one [`Choice`] from the records of [`crate::api`], hand each batch of events with its clock
+//! to [`Choice::decide`] and carry out the actions in order. Chance comes from the seed; see docs/design.md.
 
 use crate::api::*;
 use crate::state::*;
@@ -36,7 +35,6 @@
 const LOOKS: f64 = 10.0; // looks at new tallies of one build, which share δ
 const TALLY_HALF: Ms = 8000.0; // ms in which the weight of tallies halves: several periods of few counts
 const STAGE_KEPT: f64 = 0.3; // weight kept of an earlier stage's tallies: its few machines may have been sick
-const TALLY_FADE: f64 = 0.9; // weight kept per tally of the time before
 const TALLY_WARM: f64 = 0.7; // capacity of the trial's instances from which tallies compare
 const BASE_FADE: f64 = 0.995; // weight kept per outcome of the time before: some hundreds count
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
@@ -55,9 +53,8 @@
 const RESEND_SAVED: f64 = 10.0; // of these that may be saved up
 const MARGIN: Ms = 20.0; // ms kept from the ends of spans that rules set
 const COLD_PART: f64 = 0.5; // share of a cold instance's budget used: twice the capacity may come
-const RATE_SPAN: Ms = 2000.0; // ms over which this gateway's own rate is taken
+const RATE_SPAN: Ms = 2000.0; // ms over which this gateway's own rate is taken, and its usual one follows
 const RATE_SURGE: f64 = 1.5; // times its usual rate that a burst may raise what cold instances get
-const USUAL_SPAN: Ms = 2500.0; // ms over which the usual rate is taken
 const CROSS_BIAS: f64 = 0.7; // in flight that an instance across zones counts extra, where crossing costs
 const ASK_SPREAD: f64 = 0.2; // share of the time to ask within over which the first calls are spread
 const IDLE: Ms = 1000.0; // ms between looks while there is nothing to judge
@@ -109,8 +106,8 @@
     }
 
     fn hear(&mut self, news: StageNews) {
-        let over = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
-        self.bound.retain(|_, build| !over || *build != news.build);
+        let stands = matches!(news.phase, Phase::OnTrial | Phase::Released);
+        self.bound.retain(|_, build| stands || *build != news.build);
         self.news = Some(news);
     }
 }
@@ -120,6 +117,8 @@
         let (i, settled) = (sub.server, ending == Ending::Settled);
         // A machine that is down, full or silent tells of itself, not of its build.
         let error = ending == Ending::Error;
+        let right = (settled || error).then_some(f64::from(u8::from(settled)));
+        right.into_iter().for_each(|right| s.arms[RIGHT][i].add(right));
         let heard = settled || error || (ending == Ending::NoAnswer && s.last_answer[i] >= sub.sent);
         let calm = self.trial.is_none() && self.released.is_none();
         // A cold machine is no slow build: its time counts as at the capacity that it had at least.
@@ -143,9 +142,9 @@
         }
     }
 
-    fn note_flag(&mut self, build: Build) {
-        if self.watched.is_some_and(|watched| build <= watched) {
-            self.flags[usize::from(self.watched == Some(build))] += 1.0;
+    fn note_flag(&mut self, build: Option<Build>) {
+        if let (Some(build), Some(watched)) = (build, self.watched) {
+            self.flags[usize::from(build == watched)] += f64::from(u8::from(build <= watched));
         }
     }
 
@@ -169,14 +168,19 @@
         wins / draws
     }
 
-    /// π by one kind of arm; a single machine far worse than the rest of its build does not count.
-    fn pi_by(rng: &mut Pcg64Mcg, arms: &[Arm], trial: &[usize], old: &Arm, handicap: f64) -> f64 {
-        let new = Arm::pool(arms, trial, None);
-        let harm = |i: &usize| arms[*i].count * (new.mean - arms[*i].mean);
+    /// The trial's arms without the machine that costs it most: a single one may be sick.
+    fn rest(arms: &[Arm], trial: &[usize]) -> Arm {
+        let all = Arm::pool(arms, trial, None);
+        let harm = |i: &usize| arms[*i].count * (all.mean - arms[*i].mean);
         let worst = trial.iter().copied().max_by(|a, b| harm(a).total_cmp(&harm(b)));
-        let rest = Arm::pool(arms, trial, worst);
-        let one = if rest.count < LEAST_OUTCOMES { &new } else { &rest };
-        Self::pi(rng, old, &new, handicap).min(Self::pi(rng, old, one, handicap))
+        Arm::pool(arms, trial, worst.filter(|_| trial.len() > 1))
+    }
+
+    /// π by one kind of arm, by all machines and without the worst.
+    fn pi_by(rng: &mut Pcg64Mcg, arms: &[Arm], trial: &[usize], old: &Arm, handicap: f64) -> f64 {
+        let (all, rest) = (Arm::pool(arms, trial, None), Self::rest(arms, trial));
+        let rest = if rest.count < LEAST_OUTCOMES { all } else { rest };
+        Self::pi(rng, old, &all, handicap).min(Self::pi(rng, old, &rest, handicap))
     }
 
     /// The chance of fewer faults than these where so many are expected.
@@ -186,15 +190,22 @@
         chances.map_or(0.0, |chances| below.checked_sub(1).map_or(0.0, |most| chances.cdf(most)))
     }
 
-    /// Adds the tallies that came since: trial against earlier within each period and product, so that
-    /// neither their mix nor what comes over the fleet counts. All gateways hear the same.
+    /// The chance of fewer own errors and flags, were the build as right as others: too rare for a Gaussian.
+    fn faults(arms: &[Arm], trial: &[usize], earlier: &[usize]) -> f64 {
+        let wrong = |arm: &Arm| arm.count * (1.0 - arm.mean);
+        let (new, old) = (Self::rest(arms, trial), Arm::pool(arms, earlier, None));
+        Self::rare(FAULT_MARGIN * new.count * (wrong(&old) + 1.0) / old.count.max(1.0), wrong(&new))
+    }
+
+    /// Adds the new tallies, trial against earlier within each period and product: neither their mix counts
+    /// nor what comes over the whole fleet.
     fn weigh_tallies(&mut self, warmth: f64, full: bool) {
         let calm = self.trial.is_none() && self.released.is_none();
         for (product, [old, new]) in self.tallies.iter_mut().enumerate() {
             let (old, new) = (std::mem::take(old), std::mem::take(new));
             let usual = &mut self.tallied_before[product];
             if calm && old.count > 0.0 {
-                usual.fade(TALLY_FADE);
+                usual.fade(1.0 - NEWEST);
                 usual.merge(&Arm { count: old.count, mean: old.failed / old.count, squares: 0.0 });
             }
             self.tallied += new.count;
@@ -218,7 +229,7 @@
     /// Fades what is old; begins all arms together when a build comes on trial, lest earlier trouble count.
     fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms) {
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
-        let many = s.arms.iter_mut().flatten().filter(|arm| arm.count > FADE_FROM);
+        let many = s.arms[..RIGHT].iter_mut().flatten().filter(|arm| arm.count > FADE_FROM);
         many.for_each(|arm| arm.fade(half(FADE_HALF)));
         self.weighed.fade(half(TALLY_HALF));
         if trial != self.trial {
@@ -240,10 +251,9 @@
             self.weighed.fade(STAGE_KEPT);
         }
         self.weigh_tallies(sight.warmth, news.cap >= 1.0);
-        self.judged = now;
         let newest = sight.trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
         let (trial, earlier) = (&sight.trial, &sight.earlier);
-        self.alone = earlier.is_empty();
+        (self.judged, self.alone) = (now, earlier.is_empty());
         let on_trial = self.trial == Some(news.build) && news.phase == Phase::OnTrial;
         let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
         self.released = (news.phase == Phase::Released && now - at < WATCH).then_some((news.build, at));
@@ -253,6 +263,8 @@
         let mut found = vec![(0.5, of_own, "nothing")];
         let old = |kind: usize| Arm::pool(&s.arms[kind], earlier, None);
         let count = Arm::pool(&s.arms[SCORE], trial, None).count;
+        let faults = Self::faults(&s.arms[RIGHT], trial, earlier);
+        found.extend(on_trial.then_some((faults, of_own, "own errors and flags")));
         if on_trial && !full {
             let score = Self::pi_by(rng, &s.arms[SCORE], trial, &old(SCORE), 0.0);
             found.push((score, of_own, "score"));
@@ -272,13 +284,13 @@
             found.push((Self::rare(expected, self.flags[1]), of_all, "flags"));
         }
         let is_sure = found.iter().any(|(pi, delta, _)| *pi > 1.0 - delta);
+        self.sure_since = is_sure.then(|| self.sure_since.unwrap_or(now));
         let (pi, _, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         let own = count >= LEAST_OUTCOMES && (full || old(SCORE).count >= LEAST_OUTCOMES);
         self.enough = on_trial && (own || self.tallied >= LEAST_OUTCOMES);
         self.pi = pi;
-        self.sure_since = if is_sure { self.sure_since.or(Some(now)) } else { None };
-        let sure = self.sure_since.is_some_and(|since| now - since >= SURE_FOR);
-        if self.condemned != Some(news.build) && sure {
+        if self.condemned != Some(news.build) && self.sure_since.is_some_and(|since| now - since >= SURE_FOR)
+        {
             self.condemned = Some(news.build);
             let Weighed { failed, expected, .. } = self.weighed;
             let by = format!("pi {pi:.3} by {why}, tallies fail {failed:.0} against {expected:.0}");
@@ -310,8 +322,7 @@
     }
 
     fn cast(&mut self, rng: &mut Pcg64Mcg, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Out) {
-        let (build, stage) = (news.build, news.stage);
-        let wanted = (build, stage, verdict);
+        let wanted @ (build, stage, _) = (news.build, news.stage, verdict);
         let last = self.vote.filter(|last| last.0 == build);
         let due = match last {
             None => verdict != Verdict::None,
@@ -333,7 +344,7 @@
 impl Fleet {
     fn hear(&mut self, rng: &mut Pcg64Mcg, kind: ListKind, entries: &[Listing], now: Ms) {
         self.ask_at = match kind {
-            // The watch may stand or not: ask again, later each time and by chance, for all share one service.
+            // The watch may stand or not: ask again, each time later, by chance, for all share one service.
             ListKind::Failed => {
                 self.failures += 1;
                 let wait = ASK_AGAIN * f64::from(1u32 << self.failures.min(8)) * rng.random_range(0.5..1.0);
@@ -363,8 +374,7 @@
     /// The least share of its capacity that an instance has by now.
     fn warmth(&self, i: usize, now: Ms) -> f64 {
         let since = self.servers.since[i];
-        let warm = since <= 0.0 || now - since >= self.cold.warm_up;
-        let way = if warm { 1.0 } else { (now - since).max(0.0) / self.cold.warm_up };
+        let way = if since <= 0.0 { 1.0 } else { ((now - since) / self.cold.warm_up).clamp(0.0, 1.0) };
         self.cold.from + (1.0 - self.cold.from) * way
     }
 
@@ -374,7 +384,7 @@
         let since = now - std::mem::replace(&mut self.filled, now);
         let capacity: f64 = self.ready().map(|i| self.warmth(i, now)).sum();
         let rate = self.arrivals.since(now - RATE_SPAN) as f64 / RATE_SPAN / capacity.max(1.0);
-        self.usual += (since / USUAL_SPAN).min(1.0) * (rate - self.usual);
+        self.usual += (since / RATE_SPAN).min(1.0) * (rate - self.usual);
         self.part = (SUBSET * self.usual * capacity).max(SUBSET_LEAST) / self.ready().count().max(1) as f64;
         let part = COLD_PART * self.cold.multiple * rate.min(RATE_SURGE * self.usual);
         for i in 0..self.servers.id.len() {
@@ -410,9 +420,8 @@
             Ending::Settled | Ending::TurnedAway | Ending::NoAnswer => {
                 let step = CAP_GAIN * (1.0 - if settled { queue.min(HEAVY) } else { HEAVY });
                 s.aside_times[i] *= u32::from(!settled);
-                let used = f64::from(s.in_flight[i] + 1) >= s.in_flight_cap[i] / 2.0;
-                let step = if used { step } else { step.min(0.0) };
-                s.in_flight_cap[i] = (s.in_flight_cap[i] + step).max(1.0);
+                let most = 2.0 * f64::from(s.in_flight[i] + 1).max(s.in_flight_cap[i] / 2.0);
+                s.in_flight_cap[i] = (s.in_flight_cap[i] + step).clamp(1.0, most);
             }
             Ending::NoConnection => self.leave_aside(i, "no connection", now, out),
             Ending::ConnectionLost => self.leave_aside(i, "connection lost", now, out),
@@ -473,8 +482,8 @@
         }
         self.serve_waiting(now);
         // Idle gateways rest: there are hundreds.
-        let busy = self.judge.trial.is_some() || self.judge.released.is_some();
-        let rest = if busy { JUDGE_EVERY } else { IDLE };
+        let rest =
+            if self.judge.trial.is_some() || self.judge.released.is_some() { JUDGE_EVERY } else { IDLE };
         let next = now + if self.desk.txns.is_empty() { rest } else { TICK };
         let desk = &mut self.desk;
         desk.look_at = desk.look_at.min(next).min(self.fleet.ask_at.map_or(next, |at| at.max(now + TICK)));
@@ -516,17 +525,15 @@
             Event::Flagged { instance, .. } => {
                 let (Some(i), s) = (self.fleet.index.get(&instance), &mut self.fleet.servers) else { return };
                 s.arms[SCORE][*i].zero_one();
+                s.arms[RIGHT][*i].zero_one();
                 let build = s.build[*i];
-                self.judge.note_flag(build);
+                self.judge.note_flag(Some(build));
                 // One flag tells a gateway little, those of hundreds tell of the build: four bytes each.
                 if self.permits.peers {
                     self.desk.out.push(Action::Tell { to: None, data: build.to_be_bytes().to_vec() });
                 }
             }
-            Event::Peer { data, .. } => {
-                let build = <[u8; 4]>::try_from(&data[..]).map(Build::from_be_bytes);
-                build.into_iter().for_each(|build| self.judge.note_flag(build));
-            }
+            Event::Peer { data, .. } => self.judge.note_flag(build_told(&data)),
             Event::Tally { build, product, count, failed, took, .. } => {
                 let known = self.products.iter().position(|known| known.name == product);
                 let side = usize::from(self.judge.watched == Some(build));
@@ -578,8 +585,7 @@
         self.desk.forget(id);
     }
 
-    /// The share of a tenant's txns to decline at once. A few own txns tell little: they are weighed
-    /// with those of all tenants here.
+    /// The share of a tenant's txns to decline at once: its few weighed with those of all tenants here.
     fn shed_share(&mut self, tenant: &Option<String>, now: Ms) -> f64 {
         let mut good = 1.0;
         for service in self.desk.services(tenant) {
@@ -706,9 +712,7 @@
     /// The top-two coin between the earlier and the trial build, then an instance.
     fn place(&mut self, id: TxnId, (trial, earlier): &(Vec<usize>, Vec<usize>), now: Ms) -> bool {
         let s = &self.fleet.servers;
-        let per_server = |side: &[usize]| {
-            side.iter().map(|i| f64::from(s.in_flight[*i])).sum::<f64>() / side.len().max(1) as f64
-        };
+        let per_server = |side: &[usize]| s.mean_in_flight(side);
         let share = trial.len() as f64 / (trial.len() + earlier.len()).max(1) as f64;
         let going = self.exposure.news.as_ref().is_none_or(|news| news.phase != Phase::GoingBack);
         let coin = self.rng.random::<f64>();
@@ -761,7 +765,7 @@
             let waits = |sub: &Submission| sub.ending.is_none() && now - sub.sent >= patience;
             for (n, sub) in txn.submissions.iter().enumerate().filter(|(_, sub)| waits(sub)) {
                 let silent = s.life[sub.server] != sub.life || s.last_answer[sub.server] < sub.sent;
-                if silent && !txn.answered && txn.outstanding() == 1 {
+                if silent && !txn.answered && txn.outstanding() == 1 && now < txn.in_time {
                     stuck.push((*id, n));
                 }
             }
@@ -783,13 +787,12 @@
     /// A txn stuck at a silent instance: a second copy where permitted, else recalled to be sent again.
     fn send_elsewhere(&mut self, id: TxnId, n: usize, now: Ms) {
         // In an overload a second copy only takes another's place.
-        let calm = self.shed_share(&None, now) <= 0.0;
-        let txn = &self.desk.txns[&id];
-        if !calm || self.desk.resends < 1.0 || now >= txn.in_time || !self.may_resend(id) {
+        let overloaded = self.shed_share(&None, now) > 0.0;
+        if overloaded || self.desk.resends < 1.0 || !self.may_resend(id) {
             return;
         }
         if !self.permits.second_copies {
-            let counts = self.permits.recall && !txn.submissions[n].recalled;
+            let counts = self.permits.recall && !self.desk.txns[&id].submissions[n].recalled;
             self.recall(id, n);
             self.desk.resends -= f64::from(u8::from(counts));
         } else if self.place(id, &self.sides(false), now) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -127,9 +127,10 @@
     }
 }
 
-/// Kinds of arms: served in time, log of the pace.
+/// Kinds of arms: served in time, log of the pace, neither error nor flagged.
 pub const SCORE: usize = 0;
 pub const PACE: usize = 1;
+pub const RIGHT: usize = 2;
 
 /// Figures on instances, in parallel arrays under one dense index.
 #[derive(Clone, Debug, Default)]
@@ -150,7 +151,7 @@
     pub aside_until: Vec<Ms>,
     pub aside_times: Vec<u32>,
     /// Arms by kind, then by instance.
-    pub arms: [Vec<Arm>; 2],
+    pub arms: [Vec<Arm>; 3],
     /// Submissions in a row without an answer.
     pub silent: Vec<u32>,
     /// How slow it lately answered, in log of its usual time, and when.
@@ -198,6 +199,11 @@
         self.ready[i] = entry.state == Standing::Ready;
     }
 
+    /// This gateway's txns in flight per instance.
+    pub fn mean_in_flight(&self, side: &[usize]) -> f64 {
+        side.iter().map(|i| f64::from(self.in_flight[*i])).sum::<f64>() / side.len().max(1) as f64
+    }
+
     /// A submission to an instance as it stands.
     pub fn submission(&self, server: usize, warmth: f64, sent: Ms) -> Submission {
         let (life, build, cell) = (self.life[server], self.build[server], self.cell[server]);
@@ -433,3 +439,8 @@
         }
     }
 }
+
+/// The build that a gateway's message tells was flagged.
+pub fn build_told(data: &[u8]) -> Option<Build> {
+    <[u8; 4]>::try_from(data).ok().map(Build::from_be_bytes)
+}
