--- a/src/choice.rs
+++ b/src/choice.rs
@@ -303,22 +303,24 @@
 
     fn verdict(&mut self, news: &StageNews, since_start: Ms, now: Ms) -> Verdict {
         if self.condemned == Some(news.build) {
-            let over = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
-            return if over { Verdict::None } else { Verdict::Back };
+            let stands = matches!(news.phase, Phase::OnTrial | Phase::Released);
+            return if stands { Verdict::Back } else { Verdict::None };
         }
         if self.terms.mode == VoteMode::Clocked {
             return if self.enough && self.pi > DOUBT { Verdict::Hold } else { Verdict::None };
         }
         let fit = since_start >= SETTLE && self.pi <= DOUBT;
-        // Nothing is capped any more: the trial carries nearly all for a while, and only that counts.
+        // Nothing is capped any more: the trial carries nearly all, so that waiting costs little and a
+        // release that has to be taken back much.
         let rehearses = fit && news.cap >= 1.0 && (self.enough || self.rehearsed.is_some());
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
         let heard = match self.rehearsed {
             Some(since) => self.enough && now - since >= if self.alone { SETTLE } else { REHEARSAL },
-            // The further it is, the more a wrong step costs, and one vote of the least informed is enough.
+            // The further it is, the more a wrong step costs.
             None => self.enough || since_start >= FEW_PATIENCE * f64::from(news.stage + 1),
         };
-        if fit && heard { Verdict::On } else { Verdict::None }
+        let calm = news.cap < 1.0 || self.weighed.failed <= self.weighed.expected;
+        if fit && heard && calm { Verdict::On } else { Verdict::None }
     }
 
     fn cast(&mut self, rng: &mut Pcg64Mcg, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Out) {
