--- a/src/choice.rs
+++ b/src/choice.rs
@@ -309,18 +309,16 @@
         if self.terms.mode == VoteMode::Clocked {
             return if self.enough && self.pi > DOUBT { Verdict::Hold } else { Verdict::None };
         }
-        let fit = since_start >= SETTLE && self.pi <= DOUBT;
-        // Nothing is capped any more: the trial carries nearly all, so that waiting costs little and a
-        // release that has to be taken back much.
+        let calm = news.cap < 1.0 || self.weighed.failed <= self.weighed.expected;
+        let fit = since_start >= SETTLE && self.pi <= DOUBT && calm;
+        // Nothing is capped any more: the trial carries nearly all for a while, unless too much fails then.
         let rehearses = fit && news.cap >= 1.0 && (self.enough || self.rehearsed.is_some());
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
         let heard = match self.rehearsed {
             Some(since) => self.enough && now - since >= if self.alone { SETTLE } else { REHEARSAL },
-            // The further it is, the more a wrong step costs.
             None => self.enough || since_start >= FEW_PATIENCE * f64::from(news.stage + 1),
         };
-        let calm = news.cap < 1.0 || self.weighed.failed <= self.weighed.expected;
-        if fit && heard && calm { Verdict::On } else { Verdict::None }
+        if fit && heard { Verdict::On } else { Verdict::None }
     }
 
     fn cast(&mut self, rng: &mut Pcg64Mcg, news: &StageNews, verdict: Verdict, now: Ms, out: &mut Out) {
