Failures beside quick answers are no collapse; the build serving at the start is no new release

Cause: the time before the trial was learnt from 15 s on only, as if the build serving at the start had just been released.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -56,8 +56,8 @@
 const RATE_SPAN: Ms = 2000.0; // ms over which this gateway's own rate is taken, and its usual one follows
 const RATE_SURGE: f64 = 1.5; // times its usual rate that a burst may raise what cold instances get
 const CROSS_BIAS: f64 = 0.7; // in flight that an instance across zones counts extra, where crossing costs
-const ASK_SPREAD: f64 = 0.2; // share of the time to ask within over which the first calls are spread
-const IDLE: Ms = 1000.0; // ms between looks while there is nothing to judge
+const ASK_SPREAD: f64 = 0.2; // share of the time to ask within over which first calls are spread: all start at once
+const IDLE: Ms = 1000.0; // ms between looks while there is nothing to judge: idle gateways are hundreds
 const ASK_AGAIN: Ms = 500.0; // ms before a failed call for the list or a failed vote is repeated
 const VOTERS: f64 = 8.0; // gateways that vote at each look, of all that would: the platform's calls are few
 const SHED_BELOW: f64 = 0.8; // share of a tenant's txns served well under which some are declined at once
@@ -203,20 +203,21 @@
         let calm = self.trial.is_none() && self.released.is_none();
         for (product, [old, new]) in self.tallies.iter_mut().enumerate() {
             let (old, new) = (std::mem::take(old), std::mem::take(new));
-            let usual = &mut self.tallied_before[product];
+            let (usual, time) = (&mut self.tallied_before[product], &mut self.time_before[product]);
             if calm && old.count > 0.0 {
-                usual.fade(1.0 - NEWEST);
-                usual.merge(&Arm { count: old.count, mean: old.failed / old.count, squares: 0.0 });
+                usual.follow(1.0 - NEWEST, old.count, old.failed / old.count);
+                time.follow(1.0 - NEWEST, old.served(), old.time);
             }
             self.tallied += new.count;
             self.answers = [self.answers[0] + old.served(), self.answers[1] + new.served()];
             let new = if warmth < TALLY_WARM { Count::default() } else { new };
             // Earlier instances that are gone, or idle while the build carries nearly all, are no comparison.
             let alone = full || old.count < LEAST_OUTCOMES.min(new.count);
-            let before = (usual.mean + COLLAPSE) / FAULT_MARGIN;
-            let rate = if alone { before } else { (old.failed + 1.0) / (old.count + 1.0) };
-            self.weighed.failed += new.failed;
+            let rate = if alone { (usual.mean + COLLAPSE) / FAULT_MARGIN } else { old.failing() };
             self.weighed.expected += rate * new.count;
+            // Failures beside answers as quick as ever are some tenant's or machine's, not a slow build's.
+            let quick = alone && new.served() > 0.0 && new.time < time.mean * (PACE_MARGIN / 2.0).exp();
+            self.weighed.failed += if quick { new.failed.min(rate * new.count) } else { new.failed };
             let (ours, theirs) = (new.served(), old.served());
             if !alone && ours > 0.0 && theirs > 0.0 {
                 let count = ours * theirs / (ours + theirs) / 2.0;
@@ -256,7 +257,8 @@
         (self.judged, self.alone) = (now, earlier.is_empty());
         let on_trial = self.trial == Some(news.build) && news.phase == Phase::OnTrial;
         let at = self.released.filter(|(build, _)| *build == news.build).map_or(now, |(_, at)| at);
-        self.released = (news.phase == Phase::Released && now - at < WATCH).then_some((news.build, at));
+        let new = news.phase == Phase::Released && self.watched == Some(news.build);
+        self.released = (new && now - at < WATCH).then_some((news.build, at));
         let full = on_trial && (news.cap >= 1.0 || self.alone);
         // δ is shared among looks, and among gateways but for tallies, which are the same for all.
         let (of_own, of_all) = (self.delta / LOOKS, DELTA / LOOKS);
@@ -303,8 +305,8 @@
 
     fn verdict(&mut self, news: &StageNews, since_start: Ms, now: Ms) -> Verdict {
         if self.condemned == Some(news.build) {
-            let stands = matches!(news.phase, Phase::OnTrial | Phase::Released);
-            return if stands { Verdict::Back } else { Verdict::None };
+            let over = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
+            return if over { Verdict::None } else { Verdict::Back };
         }
         if self.terms.mode == VoteMode::Clocked {
             return if self.enough && self.pi > DOUBT { Verdict::Hold } else { Verdict::None };
@@ -449,12 +451,10 @@
         exposure: ExposureTerms, votes: VoteTerms, costs: Costs,
     ) -> Self {
         let (count, gateways) = (products.len(), f64::from(place.gateways.max(1)));
-        // One vote of many that each look often: the chance of a wrong one is shared.
         let delta = DELTA / (gateways / f64::from(votes.to_revert.max(1))).max(1.0);
         let voters =
             VOTERS * f64::from(votes.to_go.max(votes.to_pause).max(votes.to_revert).max(1)) / gateways;
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        // All start at once, and one service answers all calls for the list in turn.
         let ask_at = list.asked.then(|| rng.random_range(0.0..=ASK_SPREAD * list.ask_within));
         let logs = f64::from(place.me) < VOTERS;
         Choice {
@@ -481,7 +481,6 @@
             self.look_round(now);
         }
         self.serve_waiting(now);
-        // Idle gateways rest: there are hundreds.
         let rest =
             if self.judge.trial.is_some() || self.judge.released.is_some() { JUDGE_EVERY } else { IDLE };
         let next = now + if self.desk.txns.is_empty() { rest } else { TICK };
@@ -537,9 +536,11 @@
             Event::Tally { build, product, count, failed, took, .. } => {
                 let known = self.products.iter().position(|known| known.name == product);
                 let side = usize::from(self.judge.watched == Some(build));
-                if let Some(product) = known.filter(|_| failed <= count) {
-                    self.judge.tallies[product][side].add(count as f64, failed as f64, took.unwrap_or(1.0));
-                }
+                let tally =
+                    known.filter(|_| failed <= count).map(|product| &mut self.judge.tallies[product][side]);
+                tally
+                    .into_iter()
+                    .for_each(|tally| tally.add(count as f64, failed as f64, took.unwrap_or(1.0)));
             }
             Event::Timer { .. } | Event::Probed { .. } => {}
         }
@@ -673,8 +674,7 @@
     }
 
     fn recall(&mut self, id: TxnId, n: usize) {
-        let txn = self.desk.txns.get_mut(&id);
-        let Some(sub) = txn.and_then(|txn| txn.submissions.get_mut(n)) else { return };
+        let Some(sub) = self.desk.submission(id, n) else { return };
         if self.permits.recall && sub.ending.is_none() && !std::mem::replace(&mut sub.recalled, true) {
             self.desk.out.push(Action::Recall { id, submission: n as u32 });
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,6 +101,12 @@
         sum
     }
 
+    /// Weighs down what was, and adds so many scores of this mean.
+    pub fn follow(&mut self, keep: f64, count: f64, mean: f64) {
+        self.fade(keep);
+        self.merge(&Arm { count, mean, squares: 0.0 });
+    }
+
     /// Weighs all scores so far down to this share.
     pub fn fade(&mut self, share: f64) {
         self.count *= share;
@@ -272,6 +278,8 @@
     pub tallies: Vec<[Count; 2]>,
     /// Share of failures before the trial, by product.
     pub tallied_before: Vec<Arm>,
+    /// Mean time of an answer then.
+    pub time_before: Vec<Arm>,
     /// Counted at the present stage; what was weighed.
     pub stage: (Build, u32),
     pub tallied: f64,
@@ -307,6 +315,10 @@
 }
 
 impl Desk {
+    pub fn submission(&mut self, id: TxnId, n: usize) -> Option<&mut Submission> {
+        self.txns.get_mut(&id)?.submissions.get_mut(n)
+    }
+
     /// Drops a txn that is answered and has nothing out.
     pub fn forget(&mut self, id: TxnId) {
         if self.txns.get(&id).is_some_and(|txn| txn.answered && txn.outstanding() == 0) {
@@ -344,6 +356,11 @@
 }
 
 impl Count {
+    /// Share of failures, one taken for granted.
+    pub fn failing(&self) -> f64 {
+        (self.failed + 1.0) / (self.count + 1.0)
+    }
+
     pub fn served(&self) -> f64 {
         self.count - self.failed
     }
@@ -391,9 +408,10 @@
 
 impl Judge {
     pub fn new(terms: VoteTerms, delta: f64, voters: f64, products: usize) -> Self {
-        let (base, tallied_before) = (vec![Arm::default(); products], vec![Arm::default(); products]);
+        let base = vec![Arm::default(); products];
+        let (tallied_before, time_before) = (base.clone(), base.clone());
         let tallies = vec![Default::default(); products];
-        Judge { terms, delta, voters, base, tallied_before, tallies, ..Judge::default() }
+        Judge { terms, delta, voters, base, tallied_before, time_before, tallies, ..Judge::default() }
     }
 }
 
