--- a/src/choice.rs
+++ b/src/choice.rs
@@ -56,7 +56,7 @@
 const RATE_SPAN: Ms = 2000.0; // ms over which this gateway's own rate is taken, and its usual one follows
 const RATE_SURGE: f64 = 1.5; // times its usual rate that a burst may raise what cold instances get
 const CROSS_BIAS: f64 = 0.7; // in flight that an instance across zones counts extra, where crossing costs
-const ASK_SPREAD: f64 = 0.2; // share of the time to ask within over which first calls are spread: all start at once
+const ASK_SPREAD: f64 = 0.2; // share of the time to ask within over which the first calls are spread
 const IDLE: Ms = 1000.0; // ms between looks while there is nothing to judge: idle gateways are hundreds
 const ASK_AGAIN: Ms = 500.0; // ms before a failed call for the list or a failed vote is repeated
 const VOTERS: f64 = 8.0; // gateways that vote at each look, of all that would: the platform's calls are few
@@ -216,7 +216,7 @@
             let rate = if alone { (usual.mean + COLLAPSE) / FAULT_MARGIN } else { old.failing() };
             self.weighed.expected += rate * new.count;
             // Failures beside answers as quick as ever are some tenant's or machine's, not a slow build's.
-            let quick = alone && new.served() > 0.0 && new.time < time.mean * (PACE_MARGIN / 2.0).exp();
+            let quick = alone && new.served() > 0.0 && new.time < time.mean * (PACE_MARGIN / 4.0).exp();
             self.weighed.failed += if quick { new.failed.min(rate * new.count) } else { new.failed };
             let (ours, theirs) = (new.served(), old.served());
             if !alone && ours > 0.0 && theirs > 0.0 {
