--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,436 @@
+//! The gateway: owns the decisions, open txns, the clock and timers. Notes of the drivers go in as events,
+//! one wake-up's in one batch; actions are carried out in the order given.
+
+use crate::counters::{COUNTERS, Count};
+use crate::must;
+use crate::net::list::{self, List};
+use crate::net::platform::Vote;
+use crate::net::servers::{Errand, Pool, Stopped};
+use crate::net::{Answer, NOTES_HELD, Note, list_kind};
+use crate::proto::pg::{self, Statement};
+use bytes::Bytes;
+use latchhaven::api::{Action, Ending, Event, ListKind, Load, Ms, Reports, StageNews};
+use latchhaven::choice::Choice;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::select;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep_until};
+
+/// Unix time in ms at the start, and steady from there: the list gives starts of instances in Unix time.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    unix: Ms,
+    start: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: unix.as_secs_f64() * 1000.0, start: Instant::now() }
+    }
+
+    pub fn now(&self) -> Ms {
+        self.unix + self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn instant(&self, at: Ms) -> Instant {
+        self.start + Duration::from_secs_f64((at - self.unix).max(0.0) / 1000.0)
+    }
+}
+
+/// A txn that was taken and is not yet over.
+struct Open {
+    statement: Rc<Statement>,
+    expires: Ms,
+    /// None: it has its final answer, or the client has gone away.
+    reply: Option<oneshot::Sender<Answer>>,
+    submissions: Vec<Sent>,
+}
+
+struct Sent {
+    instance: String,
+    at: Ms,
+    ended: bool,
+}
+
+/// What a timer is for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Wake(String),
+    /// The gateway stops waiting for an errand.
+    Limit(Errand),
+}
+
+pub struct Gateway {
+    choice: Choice,
+    clock: Clock,
+    open: BTreeMap<u32, Open>,
+    pool: Pool,
+    /// By microsecond.
+    timers: BinaryHeap<Reverse<(u64, Due)>>,
+    /// Events that actions brought about, for the next batch.
+    next: Vec<Event>,
+    probes: BTreeMap<u64, (String, Ms)>,
+    probed: u64,
+    dial_within: Ms,
+    reports: Reports,
+    news: StageNews,
+    news_since: Ms,
+    list_addr: SocketAddr,
+    version: u64,
+    watch: Option<AbortHandle>,
+    votes: mpsc::Sender<Vote>,
+    notes: mpsc::Sender<Note>,
+}
+
+impl Gateway {
+    pub fn new(
+        choice: Choice, clock: Clock, pool: Pool, dial_within: Ms, reports: Reports, news: StageNews,
+        list_addr: SocketAddr, votes: mpsc::Sender<Vote>, notes: mpsc::Sender<Note>,
+    ) -> Self {
+        let news_since = clock.now() - news.age;
+        Gateway {
+            choice,
+            clock,
+            open: BTreeMap::new(),
+            pool,
+            timers: BinaryHeap::new(),
+            next: Vec::new(),
+            probes: BTreeMap::new(),
+            probed: 0,
+            dial_within,
+            reports,
+            news,
+            news_since,
+            list_addr,
+            version: 0,
+            watch: None,
+            votes,
+            notes,
+        }
+    }
+
+    /// Starts from what was held, and serves until dropped.
+    pub async fn run(mut self, held: List, mut notes: mpsc::Receiver<Note>) {
+        let mut first = vec![Event::Stage(self.news.clone())];
+        first.push(self.listed(ListKind::Cached, held));
+        self.decide(first);
+        let mut batch = Vec::new();
+        loop {
+            let due = self.timers.peek().map(|Reverse((at, _))| self.clock.instant(*at as f64 / 1000.0));
+            if self.next.is_empty() {
+                select! {
+                    _ = notes.recv_many(&mut batch, NOTES_HELD) => {}
+                    () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
+                }
+            }
+            // The others that this wake-up woke have their turn first: what they read is one batch.
+            tokio::task::yield_now().await;
+            while let Ok(note) = notes.try_recv() {
+                batch.push(note);
+            }
+            // What the list and the platform told comes before all that is decided after it.
+            let (mut news, mut events) = (Vec::new(), std::mem::take(&mut self.next));
+            for note in batch.drain(..) {
+                self.hear(note, &mut news, &mut events);
+            }
+            self.come_due(&mut events);
+            news.append(&mut events);
+            if !news.is_empty() {
+                self.decide(news);
+            }
+        }
+    }
+
+    fn decide(&mut self, events: Vec<Event>) {
+        COUNTERS.batches.add();
+        let actions = self.choice.decide(self.clock.now(), events);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn hear(&mut self, note: Note, news: &mut Vec<Event>, events: &mut Vec<Event>) {
+        let now = self.clock.now();
+        match note {
+            Note::Txn { id, statement, came, reply } => {
+                COUNTERS.txns.add();
+                let expires = came + statement.left;
+                events.push(Event::Txn {
+                    id,
+                    product: statement.product.clone(),
+                    tenant: statement.tenant.clone(),
+                    key: statement.item.clone(),
+                    left: expires - now,
+                    work: statement.work,
+                    repeat: statement.repeat,
+                    write: statement.write,
+                });
+                let open = Open { statement, expires, reply: Some(reply), submissions: Vec::new() };
+                must!(self.open.insert(id, open).is_none(), "a txn has an id of its own");
+            }
+            Note::Gone { id } => {
+                COUNTERS.clients_gone.add();
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.reply = None;
+                    events.push(Event::ClientGone { id });
+                }
+                self.forget(id);
+            }
+            Note::Free { link, first } => self.pool.free(link, first, now),
+            Note::NotUp { link } => {
+                if let Some(errand) = self.pool.not_up(&link) {
+                    self.ended(errand, Ending::NoConnection, None, Load::new(), events);
+                }
+            }
+            Note::Over { link } => self.pool.over(&link),
+            Note::Ended { link, ending, value, load } => {
+                if let Some(errand) = self.pool.ended(&link) {
+                    self.ended(errand, ending, value, load, events);
+                }
+            }
+            Note::List(Some(list)) => {
+                COUNTERS.list_changes.add();
+                let event = self.listed(list_kind(list.whole), list);
+                news.push(event);
+            }
+            Note::List(None) => {
+                let (kind, version) = (ListKind::Failed, self.version);
+                news.push(Event::Fleet { kind, version, entries: Vec::new() });
+            }
+            Note::Stage(stage) => {
+                let stage = self.staged(stage);
+                news.push(Event::Stage(stage));
+            }
+            Note::Tally(tally) => {
+                COUNTERS.tallies_told.add();
+                news.push(Event::Tally {
+                    build: tally.build,
+                    product: tally.product,
+                    count: tally.count,
+                    failed: tally.failed,
+                    took: tally.took,
+                    age: tally.age,
+                });
+            }
+        }
+    }
+
+    /// Takes over a list; what was not yet written to an instance that changed is decided anew.
+    fn listed(&mut self, kind: ListKind, list: List) -> Event {
+        self.version = list.version;
+        let mut back = Vec::new();
+        if kind != ListKind::Changes {
+            let here = |id: &String| list.entries.iter().any(|(listing, _)| listing.instance == *id);
+            let left: Vec<String> = self.pool.listed().into_iter().filter(|id| !here(id)).collect();
+            left.iter().for_each(|id| back.append(&mut self.pool.delist(id)));
+        }
+        for (listing, addr) in &list.entries {
+            back.append(&mut self.pool.relist(listing, *addr));
+        }
+        self.hand_back(back);
+        let entries = list.entries.into_iter().map(|(listing, _)| listing).collect();
+        Event::Fleet { kind, version: list.version, entries }
+    }
+
+    /// Takes over news of the newest build. Feed and answers to votes come on connections of their own and may
+    /// cross: the state that began last stands.
+    fn staged(&mut self, mut stage: StageNews) -> StageNews {
+        if !stage.valid {
+            return stage;
+        }
+        COUNTERS.states_told.add();
+        let now = self.clock.now();
+        let since = now - stage.age;
+        let held = &self.news;
+        let same = (stage.build, stage.stage, stage.phase, stage.cap)
+            == (held.build, held.stage, held.phase, held.cap);
+        let older = stage.build < held.build || (stage.build == held.build && since < self.news_since - 20.0);
+        if !same && older {
+            let (answer, age) = (stage.answer, now - self.news_since);
+            stage = StageNews { answer, age, ..self.news.clone() };
+        } else if !same {
+            (self.news, self.news_since) = (stage.clone(), since);
+            // Decided under the news before, and not yet written: it would count under these.
+            let back = self.pool.unwritten();
+            self.hand_back(back);
+        }
+        stage
+    }
+
+    fn hand_back(&mut self, errands: Vec<Errand>) {
+        let mut events = Vec::new();
+        for errand in errands {
+            self.ended(errand, Ending::NotSent, None, Load::new(), &mut events);
+        }
+        self.next.append(&mut events);
+    }
+
+    fn come_due(&mut self, events: &mut Vec<Event>) {
+        let now = (self.clock.now() * 1000.0) as u64;
+        while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            let Some(Reverse((_, due))) = self.timers.pop() else { return };
+            match due {
+                Due::Wake(token) => events.push(Event::Timer { token }),
+                Due::Limit(errand) => self.stop(errand, Ending::NoAnswer, events),
+            }
+        }
+    }
+
+    fn remind(&mut self, at: Ms, due: Due) {
+        self.timers.push(Reverse(((at.max(0.0) * 1000.0).ceil() as u64, due)));
+    }
+
+    /// Stops waiting for an errand. What was never written never ran.
+    fn stop(&mut self, errand: Errand, ending: Ending, events: &mut Vec<Event>) {
+        let instance = match errand {
+            Errand::Submission { id, n } => self.sent(id, n).map(|sent| sent.instance.clone()),
+            Errand::Probe(number) => self.probes.get(&number).map(|(instance, _)| instance.clone()),
+        };
+        let Some(instance) = instance else { return };
+        match self.pool.stop(&instance, errand) {
+            Stopped::Written => self.ended(errand, ending, None, Load::new(), events),
+            Stopped::Unwritten => self.ended(errand, Ending::NotSent, None, Load::new(), events),
+            Stopped::Unknown => drop(must!(false, "what has not ended is out somewhere")),
+        }
+    }
+
+    /// A submission that has not ended.
+    fn sent(&mut self, id: u32, n: u32) -> Option<&mut Sent> {
+        self.open.get_mut(&id)?.submissions.get_mut(n as usize).filter(|sent| !sent.ended)
+    }
+
+    /// The one ending of an errand. The first value goes to the client at once.
+    fn ended(
+        &mut self, errand: Errand, ending: Ending, value: Option<[Bytes; 3]>, load: Load,
+        events: &mut Vec<Event>,
+    ) {
+        let now = self.clock.now();
+        let (id, n) = match errand {
+            Errand::Submission { id, n } => (id, n),
+            Errand::Probe(number) => {
+                let Some((instance, at)) = self.probes.remove(&number) else { return };
+                let report = value.as_ref().filter(|_| self.reports == Reports::InProbes);
+                let load = report.and_then(|[_, row, _]| pg::text_of(row)).map(pg::load).unwrap_or(load);
+                return events.push(Event::Probed { instance, ending, took: now - at, load });
+            }
+        };
+        count(ending).add();
+        let Some(sent) = self.sent(id, n) else {
+            must!(false, "a submission ends once");
+            return;
+        };
+        sent.ended = true;
+        let (instance, took) = (sent.instance.clone(), now - sent.at);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if let Some(value) = value.filter(|_| ending == Ending::Settled)
+            && let Some(reply) = open.reply.take()
+        {
+            COUNTERS.settled.add();
+            let _ = reply.send(Answer::Settled(value));
+        }
+        let closed = open.reply.is_none();
+        events.push(Event::Ended { id, submission: n, instance, ending, closed, took, load });
+        self.forget(id);
+    }
+
+    /// Drops a txn that is answered and has nothing out.
+    fn forget(&mut self, id: u32) {
+        let over = |open: &Open| open.reply.is_none() && open.submissions.iter().all(|sent| sent.ended);
+        if self.open.get(&id).is_some_and(over) {
+            self.open.remove(&id);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Submit { id, instance, limit } => self.submit(id, instance, limit),
+            Action::Decline { id, come_back } => {
+                self.answer(id, Answer::Declined { come_back }, &COUNTERS.declined);
+            }
+            Action::Void { id } => self.answer(id, Answer::Voided, &COUNTERS.voided),
+            Action::Recall { id, submission } => {
+                let mut events = Vec::new();
+                self.stop(Errand::Submission { id, n: submission }, Ending::Recalled, &mut events);
+                self.next.append(&mut events);
+            }
+            Action::Wake { after, token } => self.remind(self.clock.now() + after, Due::Wake(token)),
+            Action::Probe { instance } => self.probe(instance),
+            Action::CloseIdle { instance } => self.pool.close_idle(&instance),
+            Action::Watch { on } => {
+                self.watch.take().inspect(AbortHandle::abort);
+                if on {
+                    let watch = list::watch(self.list_addr, self.version, self.notes.clone());
+                    self.watch = Some(tokio::task::spawn_local(watch).abort_handle());
+                }
+            }
+            Action::Fetch => {
+                tokio::task::spawn_local(list::fetch(self.list_addr, self.notes.clone()));
+            }
+            Action::Vote { build, stage, verdict } => {
+                let vote = Vote { build, stage, verdict, cast: Instant::now() };
+                must!(self.votes.try_send(vote).is_ok(), "few votes wait for the platform");
+            }
+            Action::Log(line) => tracing::info!("{line}"),
+            // How gateways speak to each other is not laid down.
+            Action::Tell { .. } => {}
+        }
+    }
+
+    fn answer(&mut self, id: u32, answer: Answer, count: &Count) {
+        let Some(reply) = self.open.get_mut(&id).and_then(|open| open.reply.take()) else { return };
+        count.add();
+        let _ = reply.send(answer);
+        self.forget(id);
+    }
+
+    fn submit(&mut self, id: u32, instance: String, limit: Option<Ms>) {
+        let now = self.clock.now();
+        let Some(open) = self.open.get_mut(&id) else {
+            must!(false, "only open txns are sent on");
+            return;
+        };
+        COUNTERS.submissions.add();
+        let until = limit.map_or(open.expires, |limit| (now + limit).min(open.expires));
+        let n = open.submissions.len() as u32;
+        open.submissions.push(Sent { instance: instance.clone(), at: now, ended: false });
+        let (errand, wanted) = (Errand::Submission { id, n }, open.reply.is_some() && until > now);
+        let statement = open.statement.clone();
+        if wanted && self.pool.send(&instance, errand, Some(statement), until, now) {
+            self.remind(until, Due::Limit(errand));
+        } else {
+            self.hand_back(vec![errand]);
+        }
+    }
+
+    fn probe(&mut self, instance: String) {
+        let now = self.clock.now();
+        COUNTERS.probes.add();
+        self.probed += 1;
+        let (errand, until) = (Errand::Probe(self.probed), now + self.dial_within);
+        self.probes.insert(self.probed, (instance.clone(), now));
+        if self.pool.send(&instance, errand, None, until, now) {
+            self.remind(until, Due::Limit(errand));
+        } else {
+            self.hand_back(vec![errand]);
+        }
+    }
+}
+
+fn count(ending: Ending) -> &'static Count {
+    match ending {
+        Ending::Settled => &COUNTERS.sub_settled,
+        Ending::Error => &COUNTERS.sub_error,
+        Ending::TurnedAway => &COUNTERS.sub_turned_away,
+        Ending::NoAnswer => &COUNTERS.sub_no_answer,
+        Ending::NoConnection => &COUNTERS.sub_no_connection,
+        Ending::ConnectionLost => &COUNTERS.sub_lost,
+        Ending::Recalled => &COUNTERS.sub_recalled,
+        Ending::NotSent => &COUNTERS.sub_not_sent,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,7 @@
+//! The gateway: clients, servers, the list and the platform on sockets, round the decisions of `latchhaven`.
+
+pub mod config;
+pub mod counters;
+pub mod gateway;
+pub mod net;
+pub mod proto;
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,126 @@
+//! Starts the gateway, watches signals, and ends it.
+
+use latchhaven_gateway::config::{self, Known};
+use latchhaven_gateway::counters::COUNTERS;
+use latchhaven_gateway::gateway::{Clock, Gateway};
+use latchhaven_gateway::net::clients::Clients;
+use latchhaven_gateway::net::servers::Pool;
+use latchhaven_gateway::net::{CLIENTS_OF_EIGHT, KEPT, LAST_ACCEPTS, NOTES_HELD, VOTES_HELD, platform};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::select;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+use tracing_appender::non_blocking::NonBlockingBuilder;
+
+/// Connections that the machine accepts before this program does.
+const BACKLOG: u32 = 1024;
+/// Log lines held for a reader that is behind; further ones are dropped rather than waited for.
+const LOG_LINES: usize = 2048;
+/// How often the last connections are looked at while stopping.
+const LOOK: Duration = Duration::from_millis(5);
+
+fn main() -> ExitCode {
+    let log = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(LOG_LINES);
+    let (log, _guard) = log.finish(io::stderr());
+    let level = match std::env::var("LATCHHAVEN_LOG").as_deref() {
+        Ok("debug") => tracing::Level::DEBUG,
+        Ok("warn") => tracing::Level::WARN,
+        _ => tracing::Level::INFO,
+    };
+    tracing_subscriber::fmt()
+        .with_writer(log)
+        .with_max_level(level)
+        .with_ansi(false)
+        .with_target(false)
+        .init();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let served = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, serve()));
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("latchhaven: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A gateway that was killed starts again under its address.
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
+async fn serve() -> io::Result<()> {
+    let clock = Clock::start();
+    let configured = config::read(|name| std::env::var(name).ok());
+    let (addresses, sockets, known, seed, terms) = configured.map_err(io::Error::other)?;
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let mut asked = signal(SignalKind::user_defined1())?;
+    let listener = listen(addresses.listen)
+        .map_err(|fault| io::Error::new(fault.kind(), format!("listen: {}: {fault}", addresses.listen)))?;
+
+    let (notes, noted) = mpsc::channel(NOTES_HELD);
+    let (votes, cast) = mpsc::channel(VOTES_HELD);
+    let (to_clients, connections) = ((sockets - KEPT) * CLIENTS_OF_EIGHT / 8, terms.connections());
+    let Known { list, news } = known;
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    if let Some(addr) = addresses.platform {
+        let within = Duration::from_secs_f64(connections.vote_within / 1000.0);
+        let feed_rng = Pcg64Mcg::from_rng(&mut rng);
+        tokio::task::spawn_local(platform::feed(addr, feed_rng, notes.clone()));
+        tokio::task::spawn_local(platform::votes(addr, within, cast, notes.clone()));
+    }
+    let pool = Pool::new(sockets - KEPT - to_clients, connections.clone(), notes.clone());
+    let gateway = Gateway::new(
+        terms.start(seed),
+        clock,
+        pool,
+        connections.dial_within,
+        connections.reports,
+        news.unwrap_or_else(config::no_news),
+        addresses.list,
+        votes,
+        notes.clone(),
+    );
+    let clients = Clients::new(to_clients, clock, notes);
+    let (name, listening) = (&addresses.name, addresses.listen);
+    tracing::info!(name, %listening, servers = list.entries.len(), "gateway starts");
+
+    let mut gateway = tokio::task::spawn_local(gateway.run(list, noted));
+    let stopping = async {
+        select! { _ = term.recv() => {}, _ = int.recv() => {} }
+        tracing::info!("gateway stops: finishing what was taken");
+        clients.stop();
+        sleep(LAST_ACCEPTS).await;
+    };
+    let printing = async {
+        while asked.recv().await.is_some() {
+            tracing::info!("counters: {COUNTERS}");
+        }
+    };
+    select! {
+        () = stopping => {}
+        () = clients.clone().accept(&listener) => {}
+        () = printing => {}
+        ended = &mut gateway => return Err(io::Error::other(format!("the gateway ended: {ended:?}"))),
+    }
+    clients.accept_rest(&listener);
+    drop(listener);
+    clients.stop();
+    while clients.open() > 0 && !gateway.is_finished() {
+        sleep(LOOK).await;
+    }
+    tracing::info!("counters: {COUNTERS}");
+    tracing::info!("gateway ends");
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/net/list.rs
@@ -0,0 +1,162 @@
+//! The list of instances: read from the service in whole, or watched.
+
+use super::{DIAL, LIST_CALL, LIST_SILENCE, Note, read_some, write_all};
+use crate::counters::COUNTERS;
+use crate::proto::http::{self, Body, Part, Reader};
+use bytes::BytesMut;
+use latchhaven::api::{Build, Listing, Standing};
+use serde::Deserialize;
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// The list, or changes to it, with the address of each instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct List {
+    pub version: u64,
+    pub whole: bool,
+    pub entries: Vec<(Listing, SocketAddr)>,
+}
+
+#[derive(Deserialize)]
+struct Page {
+    seq: u64,
+    whole: bool,
+    hosts: Vec<Host>,
+}
+
+#[derive(Deserialize)]
+struct Host {
+    host: String,
+    dial: SocketAddr,
+    #[serde(default)]
+    site: String,
+    #[serde(default)]
+    class: String,
+    #[serde(default)]
+    block: u32,
+    health: Health,
+    #[serde(default = "one")]
+    share: f64,
+    #[serde(default)]
+    born_ms: f64,
+    #[serde(default)]
+    release: Build,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Health {
+    Up,
+    Draining,
+    Removed,
+}
+
+/// Reads the list in its own form; the text names the faulty key.
+pub fn read(text: &[u8]) -> Result<List, String> {
+    let mut reader = serde_json::Deserializer::from_slice(text);
+    let page: Page = serde_path_to_error::deserialize(&mut reader).map_err(|fault| fault.to_string())?;
+    let entries = page.hosts.into_iter().map(|host| {
+        let state = match host.health {
+            Health::Up => Standing::Ready,
+            Health::Draining => Standing::Draining,
+            Health::Removed => Standing::Gone,
+        };
+        let listing = Listing {
+            instance: host.host,
+            state,
+            build: host.release,
+            zone: host.site,
+            cell: host.block,
+            kind: host.class,
+            weight: host.share,
+            since: host.born_ms,
+        };
+        (listing, host.dial)
+    });
+    Ok(List { version: page.seq, whole: page.whole, entries: entries.collect() })
+}
+
+/// Watches from a version on, until the connection ends. Every way out is told as a failed call.
+pub async fn watch(addr: SocketAddr, after: u64, notes: mpsc::Sender<Note>) {
+    let path = format!("/v1/servers?watch=1&after={after}");
+    let why =
+        watched(addr, &path, after, &notes).await.err().unwrap_or_else(|| "the watch ended".to_string());
+    tracing::info!(why, "list: watch over");
+    COUNTERS.list_failures.add();
+    let _ = notes.send(Note::List(None)).await;
+}
+
+/// Asks for the whole list once.
+pub async fn fetch(addr: SocketAddr, notes: mpsc::Sender<Note>) {
+    let list = timeout(LIST_CALL, fetched(addr)).await.unwrap_or_else(|_| Err("no answer".to_string()));
+    if let Err(why) = &list {
+        tracing::info!(why, "list: call failed");
+        COUNTERS.list_failures.add();
+    }
+    let _ = notes.send(Note::List(list.ok())).await;
+}
+
+async fn call(addr: SocketAddr, path: &str) -> io::Result<TcpStream> {
+    COUNTERS.list_calls.add();
+    let stream = timeout(DIAL, TcpStream::connect(addr)).await??;
+    stream.set_nodelay(true)?;
+    write_all(&stream, &[http::get(&addr.to_string(), path)]).await?;
+    Ok(stream)
+}
+
+async fn watched(addr: SocketAddr, path: &str, after: u64, notes: &mpsc::Sender<Note>) -> Result<(), String> {
+    let stream = call(addr, path).await.map_err(|fault| fault.to_string())?;
+    let (mut reader, mut body, mut buf) = (Reader::default(), Body::default(), BytesMut::new());
+    let (mut answered, mut silence) = (false, LIST_CALL);
+    loop {
+        let part = reader.next(&mut buf).map_err(|fault| fault.to_string())?;
+        match part {
+            Some(Part::Head { status: 200, .. }) => silence = LIST_SILENCE,
+            Some(Part::Head { status, .. }) => return Err(format!("status {status}")),
+            Some(Part::End) => return Ok(()),
+            Some(Part::Body(piece)) => {
+                body.add(&piece).map_err(|fault| fault.to_string())?;
+                while let Some(line) = body.line() {
+                    let list = match line.trim_ascii() {
+                        // The call is answered all the same where nothing has changed.
+                        b"" if answered => continue,
+                        b"" => List { version: after, whole: false, entries: Vec::new() },
+                        line => read(line)?,
+                    };
+                    answered = true;
+                    let _ = notes.send(Note::List(Some(list))).await;
+                }
+            }
+            None => match timeout(silence, read_some(&stream, &mut buf)).await {
+                Err(_) => return Err("no sign of life".to_string()),
+                Ok(Ok(0)) => return Ok(()),
+                Ok(read) => drop(read.map_err(|fault| fault.to_string())?),
+            },
+        }
+    }
+}
+
+async fn fetched(addr: SocketAddr) -> Result<List, String> {
+    let stream = call(addr, "/v1/servers").await.map_err(|fault| fault.to_string())?;
+    let (mut reader, mut body, mut buf) = (Reader::default(), Body::default(), BytesMut::new());
+    loop {
+        match reader.next(&mut buf).map_err(|fault| fault.to_string())? {
+            Some(Part::Head { status: 200, .. }) => {}
+            Some(Part::Head { status, .. }) => return Err(format!("status {status}")),
+            Some(Part::Body(piece)) => body.add(&piece).map_err(|fault| fault.to_string())?,
+            Some(Part::End) => return read(&body.take()),
+            None => match read_some(&stream, &mut buf).await.map_err(|fault| fault.to_string())? {
+                0 if reader.ends_here() => return read(&body.take()),
+                0 => return Err("the answer is cut off".to_string()),
+                _ => {}
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/net/mod.rs
@@ -0,0 +1,142 @@
+//! Thin drivers between sockets and state machines, by peer. Nothing here decides a txn's way or a vote.
+
+pub mod clients;
+pub mod list;
+pub mod platform;
+pub mod servers;
+
+use bytes::{Bytes, BytesMut};
+use latchhaven::api::{Ending, ListKind, Load, Ms, StageNews};
+use socket2::SockRef;
+use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+
+use crate::proto::pg::Statement;
+
+// Mechanics: figures of buffers, descriptors and times that decide no txn's way.
+/// Descriptors kept for everything but clients and servers: the list, the feed, votes, the runtime, logs.
+pub const KEPT: usize = 48;
+/// Of the rest, how many of eight go to clients; servers get the others.
+pub const CLIENTS_OF_EIGHT: usize = 4;
+/// A read takes at most so much at once; a connection holds at most a message and this.
+pub const READ: usize = 16 * 1024;
+/// A connection that holds this much unread is not read any further for now.
+pub const HELD: usize = 256 * 1024;
+/// A client gets so long to take an answer, and to finish what it has begun to write.
+pub const CLIENT_STALL: Duration = Duration::from_secs(10);
+/// A server gets so long to become ready again after its answer.
+pub const SETTLE: Duration = Duration::from_millis(500);
+/// Idle connections to servers are closed at this share of the time at which those close them.
+pub const IDLE_SHARE: f64 = 0.8;
+/// After SIGTERM connections are accepted for so long: the front hands them out for 0.4 s at most.
+pub const LAST_ACCEPTS: Duration = Duration::from_millis(550);
+/// The list shows a sign of life every 2 s, the feed every 1 s: silence past this ends them.
+pub const LIST_SILENCE: Duration = Duration::from_millis(3500);
+pub const FEED_SILENCE: Duration = Duration::from_millis(3000);
+/// A connection to the list or the platform that is not up by then never comes up.
+pub const DIAL: Duration = Duration::from_millis(1000);
+/// A call for the list that brings nothing by then has failed: the service gives up after 2 s itself.
+pub const LIST_CALL: Duration = Duration::from_millis(3000);
+/// A lost feed is opened again after this, doubling up to the most, each time less a random half.
+pub const FEED_AGAIN: Duration = Duration::from_millis(100);
+pub const FEED_AGAIN_MOST: Duration = Duration::from_millis(1600);
+/// When no connection can be accepted for want of descriptors, the next try is after this.
+pub const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// A connection for votes that idled longer is not used again: the platform closes some before 10 s.
+pub const VOTES_IDLE: Duration = Duration::from_secs(3);
+/// Votes that wait for an answer, and notes that wait for the gateway.
+pub const VOTES_HELD: usize = 64;
+pub const NOTES_HELD: usize = 4096;
+
+/// What a driver has seen, for the gateway.
+pub enum Note {
+    /// A txn's last byte has come.
+    Txn { id: u32, statement: Rc<Statement>, came: Ms, reply: oneshot::Sender<Answer> },
+    /// The client of a txn has gone away.
+    Gone { id: u32 },
+    /// A connection to a server is up, or ready again.
+    Free { link: Rc<servers::Link>, first: bool },
+    /// A connection to a server never came up.
+    NotUp { link: Rc<servers::Link> },
+    /// A connection to a server has ended.
+    Over { link: Rc<servers::Link> },
+    /// What was sent on a connection has ended.
+    Ended { link: Rc<servers::Link>, ending: Ending, value: Option<[Bytes; 3]>, load: Load },
+    /// The list or changes to it; none: the call failed.
+    List(Option<list::List>),
+    /// News of the newest build.
+    Stage(StageNews),
+    /// A tally of the platform.
+    Tally(platform::Tally),
+}
+
+/// The final answer to a client.
+pub enum Answer {
+    Settled([Bytes; 3]),
+    Declined { come_back: Option<Ms> },
+    Voided,
+}
+
+/// How a list came: changes where not whole.
+pub fn list_kind(whole: bool) -> ListKind {
+    if whole { ListKind::Whole } else { ListKind::Changes }
+}
+
+/// True where the peer has ended an idle connection, as far as this machine has been told.
+pub fn ended(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    !matches!(peeked, Err(fault) if fault.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// True where bytes have come that were not read.
+pub fn unread(stream: &TcpStream) -> bool {
+    matches!(SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(count) if count > 0)
+}
+
+/// Reads what is there, up to one read's worth; 0: the peer has ended its sending.
+pub async fn read_some(stream: &TcpStream, buf: &mut BytesMut) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        if buf.is_empty() && buf.capacity() > 2 * READ {
+            *buf = BytesMut::new();
+        }
+        buf.reserve(READ);
+        match stream.try_read_buf(buf) {
+            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+    }
+}
+
+/// Writes pieces gathered; `Err` tells that the last byte was not written.
+pub async fn write_all(stream: &TcpStream, pieces: &[Bytes]) -> io::Result<()> {
+    let (mut piece, mut from) = (0, 0);
+    while piece < pieces.len() {
+        if from >= pieces[piece].len() {
+            (piece, from) = (piece + 1, 0);
+            continue;
+        }
+        let mut slices = [IoSlice::new(&[]); 8];
+        let mut count = 0;
+        for (slot, rest) in slices.iter_mut().zip(&pieces[piece..]) {
+            *slot = IoSlice::new(if count == 0 { &rest[from..] } else { rest });
+            count += 1;
+        }
+        match stream.try_write_vectored(&slices[..count]) {
+            Ok(mut written) => {
+                while piece < pieces.len() && written >= pieces[piece].len() - from {
+                    written -= pieces[piece].len() - from;
+                    (piece, from) = (piece + 1, 0);
+                }
+                from += written;
+            }
+            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
+            Err(fault) => return Err(fault),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/net/servers.rs
@@ -0,0 +1,416 @@
+//! Connections to servers: one task each, one txn at a time on each, and the pool that the gateway holds.
+
+use super::{IDLE_SHARE, Note, SETTLE, ended, read_some, write_all};
+use crate::counters::COUNTERS;
+use crate::must;
+use crate::proto::pg::{self, Backend, Statement, Told};
+use bytes::{Bytes, BytesMut};
+use latchhaven::api::{Connections, Ending, Listing, Load, Ms, Reports, Standing};
+use socket2::SockRef;
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::select;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// What is sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Errand {
+    Submission { id: u32, n: u32 },
+    Probe(u64),
+}
+
+/// An errand that waits for a connection, or goes out on one.
+struct Job {
+    errand: Errand,
+    /// None: a probe.
+    statement: Option<Rc<Statement>>,
+    until: Ms,
+}
+
+/// One connection to a server.
+pub struct Link {
+    instance: String,
+    life: u64,
+    stream: OnceCell<TcpStream>,
+    over: Cell<bool>,
+    written: Cell<bool>,
+    errand: Cell<Option<Errand>>,
+    idle_from: Cell<Instant>,
+    pieces: RefCell<Option<Vec<Bytes>>>,
+    wake: Notify,
+}
+
+impl Link {
+    /// Closes it towards the server at once: nothing written later can overtake this.
+    fn close(&self) {
+        self.over.set(true);
+        if let Some(stream) = self.stream.get() {
+            let _ = SockRef::from(stream).shutdown(Shutdown::Both);
+        }
+        self.wake.notify_one();
+    }
+
+    async fn closed(&self) {
+        while !self.over.get() {
+            self.wake.notified().await;
+        }
+    }
+}
+
+struct Spot {
+    addr: SocketAddr,
+    /// Counts what is new under the id: another address, build or start.
+    life: u64,
+    listing: Listing,
+    idle: Vec<Rc<Link>>,
+    dialing: usize,
+    waiting: VecDeque<Job>,
+}
+
+/// Where an errand was when it was stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopped {
+    /// Its last byte was never written.
+    Unwritten,
+    Written,
+    /// Nothing is out under that name.
+    Unknown,
+}
+
+/// All connections to servers.
+pub struct Pool {
+    spots: BTreeMap<String, Spot>,
+    carrying: BTreeMap<Errand, Rc<Link>>,
+    open: usize,
+    most: usize,
+    lives: u64,
+    connections: Connections,
+    notes: mpsc::Sender<Note>,
+}
+
+impl Pool {
+    pub fn new(most: usize, connections: Connections, notes: mpsc::Sender<Note>) -> Self {
+        let (spots, carrying) = (BTreeMap::new(), BTreeMap::new());
+        Pool { spots, carrying, open: 0, most, lives: 0, connections, notes }
+    }
+
+    /// Takes over what the list says of an instance; returns what had not been written to it and has to be
+    /// decided anew.
+    pub fn relist(&mut self, listing: &Listing, addr: SocketAddr) -> Vec<Errand> {
+        if listing.state == Standing::Gone {
+            return self.delist(&listing.instance);
+        }
+        let life = self.lives + 1;
+        let spot = self.spots.entry(listing.instance.clone()).or_insert_with(|| Spot {
+            addr,
+            life,
+            listing: listing.clone(),
+            idle: Vec::new(),
+            dialing: 0,
+            waiting: VecDeque::new(),
+        });
+        let (old, new) = (&spot.listing, listing);
+        let same = (spot.addr, old.build, old.since) == (addr, new.build, new.since);
+        let stays = same && (old.state == new.state || new.state == Standing::Ready);
+        (spot.listing, spot.addr) = (listing.clone(), addr);
+        if spot.life != life && stays {
+            return Vec::new();
+        }
+        (self.lives, spot.life) = (life, life);
+        spot.idle.drain(..).for_each(|link| link.close());
+        spot.waiting.drain(..).map(|job| job.errand).collect()
+    }
+
+    /// An instance has left the list.
+    pub fn delist(&mut self, instance: &str) -> Vec<Errand> {
+        let Some(spot) = self.spots.remove(instance) else { return Vec::new() };
+        spot.idle.iter().for_each(|link| link.close());
+        spot.waiting.into_iter().map(|job| job.errand).collect()
+    }
+
+    pub fn listed(&self) -> Vec<String> {
+        self.spots.keys().cloned().collect()
+    }
+
+    /// Everything that waits for a connection, back to be decided anew.
+    pub fn unwritten(&mut self) -> Vec<Errand> {
+        self.spots.values_mut().flat_map(|spot| spot.waiting.drain(..)).map(|job| job.errand).collect()
+    }
+
+    /// Sends on an idle connection, or opens one. False: no connection can be had, nothing was sent.
+    pub fn send(
+        &mut self, instance: &str, errand: Errand, statement: Option<Rc<Statement>>, until: Ms, now: Ms,
+    ) -> bool {
+        let job = Job { errand, statement, until };
+        let Some(spot) = self.spots.get_mut(instance) else { return false };
+        let fresh = Duration::from_secs_f64(self.connections.idle * IDLE_SHARE / 1000.0);
+        while let Some(link) = spot.idle.pop() {
+            if !link.over.get()
+                && link.idle_from.get().elapsed() < fresh
+                && !link.stream.get().is_none_or(ended)
+            {
+                self.carry(link, job, now);
+                return true;
+            }
+            link.close();
+        }
+        if self.open >= self.most && !self.make_room() {
+            return false;
+        }
+        self.open += 1;
+        COUNTERS.server_connections_most.most(self.open);
+        COUNTERS.server_dials.add();
+        let Some(spot) = self.spots.get_mut(instance) else { return false };
+        spot.waiting.push_back(job);
+        spot.dialing += 1;
+        let link = Rc::new(Link {
+            instance: instance.to_string(),
+            life: spot.life,
+            stream: OnceCell::new(),
+            over: Cell::new(false),
+            written: Cell::new(false),
+            errand: Cell::new(None),
+            idle_from: Cell::new(Instant::now()),
+            pieces: RefCell::new(None),
+            wake: Notify::new(),
+        });
+        tokio::task::spawn_local(run(link, spot.addr, self.connections.clone(), self.notes.clone()));
+        true
+    }
+
+    /// Closes the connection that has idled longest; its descriptor is free a moment later.
+    fn make_room(&mut self) -> bool {
+        let oldest = |spot: &&mut Spot| spot.idle.iter().map(|link| link.idle_from.get()).min();
+        let spots = self.spots.values_mut().filter(|spot| !spot.idle.is_empty());
+        let Some(spot) = spots.min_by_key(oldest) else { return false };
+        let link = spot.idle.remove(0);
+        link.close();
+        true
+    }
+
+    fn carry(&mut self, link: Rc<Link>, job: Job, now: Ms) {
+        must!(link.errand.replace(Some(job.errand)).is_none(), "one txn at a time on a connection");
+        link.written.set(false);
+        let pieces = match &job.statement {
+            Some(statement) => pg::passed_on(statement, job.until - now).to_vec(),
+            None if self.connections.reports == Reports::InProbes => vec![pg::query("SHOW load")],
+            None => vec![pg::query("SELECT 1")],
+        };
+        *link.pieces.borrow_mut() = Some(pieces);
+        link.wake.notify_one();
+        self.carrying.insert(job.errand, link);
+    }
+
+    /// A connection is up or ready again: it takes what waits longest, or idles.
+    pub fn free(&mut self, link: Rc<Link>, first: bool, now: Ms) {
+        let Some(spot) = self.spots.get_mut(&link.instance) else { return link.close() };
+        spot.dialing -= usize::from(first && spot.dialing > 0);
+        if spot.life != link.life || link.over.get() {
+            return link.close();
+        }
+        match spot.waiting.pop_front() {
+            Some(job) => self.carry(link, job, now),
+            None => {
+                link.idle_from.set(Instant::now());
+                spot.idle.push(link);
+            }
+        }
+    }
+
+    /// A connection never came up: what waits for it could not be sent.
+    pub fn not_up(&mut self, link: &Rc<Link>) -> Option<Errand> {
+        self.open -= 1;
+        let spot = self.spots.get_mut(&link.instance)?;
+        spot.dialing = spot.dialing.saturating_sub(1);
+        // Others may still come up for those that wait.
+        (spot.waiting.len() > spot.dialing).then(|| spot.waiting.pop_front())?.map(|job| job.errand)
+    }
+
+    /// A connection has ended.
+    pub fn over(&mut self, link: &Rc<Link>) {
+        must!(link.errand.get().is_none(), "an ended connection carries nothing");
+        self.open -= 1;
+        if let Some(spot) = self.spots.get_mut(&link.instance) {
+            spot.idle.retain(|idle| !Rc::ptr_eq(idle, link));
+        }
+    }
+
+    /// What a connection carried has ended; none if it was stopped before.
+    pub fn ended(&mut self, link: &Rc<Link>) -> Option<Errand> {
+        let errand = link.errand.take()?;
+        self.carrying.remove(&errand);
+        Some(errand)
+    }
+
+    /// Stops an errand: takes it out of the queue, or closes its connection.
+    pub fn stop(&mut self, instance: &str, errand: Errand) -> Stopped {
+        if let Some(link) = self.carrying.remove(&errand) {
+            link.errand.set(None);
+            link.close();
+            return if link.written.get() { Stopped::Written } else { Stopped::Unwritten };
+        }
+        let waiting = self.spots.get_mut(instance).map(|spot| &mut spot.waiting);
+        let found = waiting.and_then(|waiting| {
+            let at = waiting.iter().position(|job| job.errand == errand)?;
+            waiting.remove(at)
+        });
+        if found.is_some() { Stopped::Unwritten } else { Stopped::Unknown }
+    }
+
+    pub fn close_idle(&mut self, instance: &str) {
+        let idle = self.spots.get_mut(instance).map(|spot| std::mem::take(&mut spot.idle));
+        idle.into_iter().flatten().for_each(|link| link.close());
+    }
+
+    #[cfg(test)]
+    pub fn open(&self) -> usize {
+        self.open
+    }
+}
+
+/// Opens a connection and waits for the server to be ready for a query.
+async fn reach(link: &Link, addr: SocketAddr, backend: &mut Backend, buf: &mut BytesMut) -> io::Result<()> {
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    let stream = link.stream.get_or_init(|| stream);
+    write_all(stream, &[pg::startup()]).await?;
+    let unfit = |what: &str| io::Error::new(io::ErrorKind::InvalidData, what.to_string());
+    loop {
+        match backend.next(buf).map_err(|fault| unfit(&fault.to_string()))? {
+            Some(Told::Ready) => return Ok(()),
+            Some(Told::Parameter(..)) => {}
+            Some(Told::Failed(code)) => return Err(unfit(&code)),
+            Some(Told::Value(_)) => return Err(unfit("a row before any query")),
+            None if read_some(stream, buf).await? == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            None => {}
+        }
+    }
+}
+
+/// Drives one connection from its opening to its end.
+async fn run(link: Rc<Link>, addr: SocketAddr, connections: Connections, notes: mpsc::Sender<Note>) {
+    let (mut backend, mut buf) = (Backend::default(), BytesMut::new());
+    let within = Duration::from_secs_f64(connections.dial_within / 1000.0);
+    let up = select! {
+        up = timeout(within, reach(&link, addr, &mut backend, &mut buf)) => up.map_err(io::Error::from),
+        () = link.closed() => Err(io::ErrorKind::ConnectionAborted.into()),
+    };
+    if let Err(why) = up.and_then(|up| up) {
+        COUNTERS.server_dials_failed.add();
+        tracing::debug!(instance = link.instance, %why, "no connection");
+        let _ = notes.send(Note::NotUp { link }).await;
+        return;
+    }
+    let (mut first, idle) = (true, connections.idle * (1.0 + IDLE_SHARE) / 2000.0);
+    let Some(stream) = link.stream.get() else { return };
+    loop {
+        let _ = notes.send(Note::Free { link: link.clone(), first: std::mem::take(&mut first) }).await;
+        let until = Instant::now() + Duration::from_secs_f64(idle);
+        let Some(pieces) = next_pieces(&link, stream, until, &mut backend, &mut buf).await else { break };
+        let sent = select! {
+            sent = converse(&link, stream, &pieces, &mut backend, &mut buf, connections.reports) => sent,
+            () = link.closed() => break,
+        };
+        let (ending, value, load, ready) = sent;
+        let _ = notes.send(Note::Ended { link: link.clone(), ending, value, load }).await;
+        if !ready && timeout(SETTLE, settled(stream, &mut backend, &mut buf)).await != Ok(true) {
+            break;
+        }
+    }
+    link.close();
+    if link.errand.get().is_some() && !link.written.get() {
+        // Handed over just as the connection ended.
+        let (ending, value, load) = (Ending::NoConnection, None, Vec::new());
+        let _ = notes.send(Note::Ended { link: link.clone(), ending, value, load }).await;
+    }
+    let _ = notes.send(Note::Over { link }).await;
+}
+
+/// Idles until there is something to send; none where the connection ends first.
+async fn next_pieces(
+    link: &Link, stream: &TcpStream, until: Instant, backend: &mut Backend, buf: &mut BytesMut,
+) -> Option<Vec<Bytes>> {
+    while !link.over.get() {
+        if let Some(pieces) = link.pieces.take() {
+            return Some(pieces);
+        }
+        select! {
+            () = link.wake.notified() => {}
+            read = read_some(stream, buf) => {
+                if read.ok()? == 0 {
+                    return None;
+                }
+                while let Some(told) = backend.next(buf).ok()? {
+                    // Between queries only parameters may come, and notices.
+                    matches!(told, Told::Parameter(..)).then_some(())?;
+                }
+            }
+            () = sleep_until(until) => return None,
+        }
+    }
+    None
+}
+
+/// Sends one query and reads its answer: the ending, the value, the report, and whether the server is ready
+/// for the next one.
+async fn converse(
+    link: &Link, stream: &TcpStream, pieces: &[Bytes], backend: &mut Backend, buf: &mut BytesMut,
+    reports: Reports,
+) -> (Ending, Option<[Bytes; 3]>, Load, bool) {
+    if write_all(stream, pieces).await.is_err() {
+        return (Ending::NoConnection, None, Vec::new(), false);
+    }
+    link.written.set(true);
+    let (mut ended, mut load) = (None, Vec::new());
+    loop {
+        match backend.next(buf) {
+            Ok(Some(Told::Value(value))) if ended.is_none() => ended = Some((Ending::Settled, Some(value))),
+            Ok(Some(Told::Failed(code))) if ended.is_none() => {
+                let never = [pg::TOO_MANY, pg::STARTING].contains(&code.as_str());
+                tracing::debug!(instance = link.instance, code, "error of a server");
+                ended = Some((if never { Ending::TurnedAway } else { Ending::Error }, None));
+            }
+            Ok(Some(Told::Parameter(name, text))) => {
+                if name == "load" && reports == Reports::InAnswers {
+                    load = pg::load(&text);
+                }
+            }
+            Ok(Some(Told::Ready)) if ended.is_some() => {
+                let (ending, value) = ended.unwrap_or((Ending::ConnectionLost, None));
+                return (ending, value, load, true);
+            }
+            Ok(None) => {
+                // Whole already: the client need not wait for what follows.
+                if let Some((ending, value)) = ended {
+                    return (ending, value, load, false);
+                }
+                if !matches!(read_some(stream, buf).await, Ok(count) if count > 0) {
+                    return (Ending::ConnectionLost, None, load, false);
+                }
+            }
+            out_of_step => {
+                tracing::warn!(instance = link.instance, ?out_of_step, "malformed answer of a server");
+                let (ending, value) = ended.unwrap_or((Ending::ConnectionLost, None));
+                return (ending, value, load, false);
+            }
+        }
+    }
+}
+
+/// Reads on until the server is ready again.
+async fn settled(stream: &TcpStream, backend: &mut Backend, buf: &mut BytesMut) -> bool {
+    loop {
+        match backend.next(buf) {
+            Ok(Some(Told::Ready)) => return true,
+            Ok(Some(Told::Parameter(..))) => {}
+            Ok(None) if matches!(read_some(stream, buf).await, Ok(count) if count > 0) => {}
+            _ => return false,
+        }
+    }
+}
--- a/crates/wire/src/terms.rs
+++ b/crates/wire/src/terms.rs
@@ -111,6 +111,33 @@
     max_retry_after: f64,
     second_copies: bool,
     try_limit: usize,
+    #[serde(rename = "conn-idle-s", default = "half_a_minute")]
+    conn_idle: f64,
+    #[serde(rename = "dial-timeout-s", default = "quarter_of_a_second")]
+    dial_timeout: f64,
+}
+
+fn half_a_minute() -> f64 {
+    30.0
+}
+
+fn quarter_of_a_second() -> f64 {
+    0.25
+}
+
+#[derive(Deserialize, Default)]
+struct LoadReport {
+    #[serde(default)]
+    via: Via,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "snake_case")]
+enum Via {
+    #[default]
+    Silent,
+    Piggyback,
+    Pull,
 }
 
 #[derive(Deserialize, Default)]
@@ -151,6 +178,8 @@
     domain: Domain,
     #[serde(default)]
     locality: String,
+    #[serde(default)]
+    load_report: LoadReport,
     me: u32,
     permissions: Permissions,
     #[serde(default)]
@@ -162,7 +191,9 @@
 
 /// Reads and checks the settings object.
 pub fn read(text: &str) -> Result<Terms, WireFault> {
-    let terms: Terms = serde_json::from_str(text).map_err(|fault| WireFault::Settings(fault.to_string()))?;
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let read = serde_path_to_error::deserialize(&mut reader);
+    let terms: Terms = read.map_err(|fault| WireFault::Settings(fault.to_string()))?;
     match terms.contradiction() {
         Some(what) => Err(WireFault::Settings(what)),
         None => Ok(terms),
@@ -185,6 +216,8 @@
             (domain.vote_mode != VoteMode::Clocked && domain.votes_to_go == 0, "domain.votes-to-go: 0"),
             (domain.vote_mode == VoteMode::Clocked && domain.to_pause == 0, "domain.to-pause: 0"),
             (self.permissions.try_limit == 0, "permissions.try-limit: 0"),
+            (self.permissions.conn_idle <= 0.0, "permissions.conn-idle-s: not above 0"),
+            (self.permissions.dial_timeout <= 0.0, "permissions.dial-timeout-s: not above 0"),
             (!(rules.cold_from > 0.0 && rules.cold_from <= 1.0), "rules.cold-from: not above 0 up to 1"),
             (rules.tip_multiple <= 0.0, "rules.tip-multiple: not above 0"),
             (rules.fall <= 0.0, "rules.fall-s: not above 0"),
@@ -217,6 +250,20 @@
         None
     }
 
+    /// What a front on sockets has to know beside the decisions.
+    pub fn connections(&self) -> api::Connections {
+        api::Connections {
+            idle: self.permissions.conn_idle * MS_PER_S,
+            dial_within: self.permissions.dial_timeout * MS_PER_S,
+            vote_within: self.domain.api_timeout * MS_PER_S,
+            reports: match self.load_report.via {
+                Via::Silent => api::Reports::Silent,
+                Via::Piggyback => api::Reports::InAnswers,
+                Via::Pull => api::Reports::InProbes,
+            },
+        }
+    }
+
     /// Starts the decisions of one instance.
     pub fn start(self, seed: u64) -> Choice {
         let ms = |seconds: f64| seconds * MS_PER_S;
--- a/src/api.rs
+++ b/src/api.rs
@@ -278,3 +278,23 @@
 pub struct Costs {
     pub cross_zone: f64,
 }
+
+/// Where servers give load reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    Silent,
+    InAnswers,
+    InProbes,
+}
+
+/// What a front on sockets has to know of connections.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Connections {
+    /// Idle connections to a server end after this.
+    pub idle: Ms,
+    /// A connection that is not up by then never comes up.
+    pub dial_within: Ms,
+    /// How long the answer to a vote is waited for.
+    pub vote_within: Ms,
+    pub reports: Reports,
+}
