--- a/crates/gateway/src/net/servers.rs
+++ b/crates/gateway/src/net/servers.rs
@@ -303,7 +303,7 @@
     };
     if let Err(why) = up.and_then(|up| up) {
         COUNTERS.server_dials_failed.add();
-        tracing::debug!(instance = link.instance, %why, "no connection");
+        tracing::debug!(instance = link.instance, %why, connected = link.stream.get().is_some(), "no connection");
         let _ = notes.send(Note::NotUp { link }).await;
         return;
     }
