--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::net::list::{self, List};
 use crate::net::platform;
-use latchhaven::api::{Phase, StageNews};
+use latchhaven::api::StageNews;
 use latchhaven_wire::terms::{self, Terms};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -92,12 +92,6 @@
     Ok((addresses, sockets as usize, known, seed, terms))
 }
 
-/// News that tell of no build: nothing is on trial, and the platform has not said otherwise.
-pub fn no_news() -> StageNews {
-    let (phase, cap) = (Phase::Released, 1.0);
-    StageNews { valid: true, unsure: false, answer: false, build: 0, stage: 0, phase, cap, age: 0.0 }
-}
-
 fn fault(key: &str, why: &str) -> Fault {
     Fault::Key(key.to_string(), why.to_string())
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,12 +1,13 @@
 //! The gateway: owns the decisions, open txns, the clock and timers. Notes of the drivers go in as events,
 //! one wake-up's in one batch; actions are carried out in the order given.
 
+use crate::config::Known;
 use crate::counters::{COUNTERS, Count};
 use crate::must;
 use crate::net::list::{self, List};
 use crate::net::platform::Vote;
 use crate::net::servers::{Errand, Pool, Stopped};
-use crate::net::{Answer, NOTES_HELD, Note, list_kind};
+use crate::net::{Answer, CROSSING, NOTES_HELD, Note, list_kind};
 use crate::proto::pg::{self, Statement};
 use bytes::Bytes;
 use latchhaven::api::{Action, Ending, Event, ListKind, Load, Ms, Reports, StageNews};
@@ -79,8 +80,8 @@
     probed: u64,
     dial_within: Ms,
     reports: Reports,
-    news: StageNews,
-    news_since: Ms,
+    /// The state of the newest build, and since when it stands so.
+    news: Option<(StageNews, Ms)>,
     list_addr: SocketAddr,
     version: u64,
     watch: Option<AbortHandle>,
@@ -90,10 +91,9 @@
 
 impl Gateway {
     pub fn new(
-        choice: Choice, clock: Clock, pool: Pool, dial_within: Ms, reports: Reports, news: StageNews,
-        list_addr: SocketAddr, votes: mpsc::Sender<Vote>, notes: mpsc::Sender<Note>,
+        choice: Choice, clock: Clock, pool: Pool, dial_within: Ms, reports: Reports, list_addr: SocketAddr,
+        votes: mpsc::Sender<Vote>, notes: mpsc::Sender<Note>,
     ) -> Self {
-        let news_since = clock.now() - news.age;
         Gateway {
             choice,
             clock,
@@ -105,8 +105,7 @@
             probed: 0,
             dial_within,
             reports,
-            news,
-            news_since,
+            news: None,
             list_addr,
             version: 0,
             watch: None,
@@ -116,10 +115,10 @@
     }
 
     /// Starts from what was held, and serves until dropped.
-    pub async fn run(mut self, held: List, mut notes: mpsc::Receiver<Note>) {
-        let mut first = vec![Event::Stage(self.news.clone())];
-        first.push(self.listed(ListKind::Cached, held));
-        self.decide(first);
+    pub async fn run(mut self, held: Known, mut notes: mpsc::Receiver<Note>) {
+        let told = held.news.map(|news| Event::Stage(self.staged(news)));
+        let listed = self.listed(ListKind::Cached, held.list);
+        self.decide(told.into_iter().chain([listed]).collect());
         let mut batch = Vec::new();
         loop {
             let due = self.timers.peek().map(|Reverse((at, _))| self.clock.instant(*at as f64 / 1000.0));
@@ -135,6 +134,7 @@
                 batch.push(note);
             }
             // What the list and the platform told comes before all that is decided after it.
+            batch.sort_by_key(|note| !matches!(note, Note::List(_) | Note::Stage(_) | Note::Tally(_)));
             let (mut news, mut events) = (Vec::new(), std::mem::take(&mut self.next));
             for note in batch.drain(..) {
                 self.hear(note, &mut news, &mut events);
@@ -240,26 +240,27 @@
 
     /// Takes over news of the newest build. Feed and answers to votes come on connections of their own and may
     /// cross: the state that began last stands.
-    fn staged(&mut self, mut stage: StageNews) -> StageNews {
+    fn staged(&mut self, stage: StageNews) -> StageNews {
         if !stage.valid {
             return stage;
         }
         COUNTERS.states_told.add();
         let now = self.clock.now();
         let since = now - stage.age;
-        let held = &self.news;
-        let same = (stage.build, stage.stage, stage.phase, stage.cap)
-            == (held.build, held.stage, held.phase, held.cap);
-        let older = stage.build < held.build || (stage.build == held.build && since < self.news_since - 20.0);
-        if !same && older {
-            let (answer, age) = (stage.answer, now - self.news_since);
-            stage = StageNews { answer, age, ..self.news.clone() };
-        } else if !same {
-            (self.news, self.news_since) = (stage.clone(), since);
-            // Decided under the news before, and not yet written: it would count under these.
-            let back = self.pool.unwritten();
-            self.hand_back(back);
+        let said = |news: &StageNews| (news.build, news.stage, news.phase, news.cap);
+        match &self.news {
+            Some((held, _)) if said(held) == said(&stage) => return stage,
+            Some((held, from))
+                if stage.build < held.build || (stage.build == held.build && since < from - CROSSING) =>
+            {
+                let (answer, age) = (stage.answer, now - from);
+                return StageNews { answer, age, ..held.clone() };
+            }
+            _ => self.news = Some((stage.clone(), since)),
         }
+        // Decided under the news before, and not yet written: it would count under these.
+        let back = self.pool.unwritten();
+        self.hand_back(back);
         stage
     }
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,6 +1,6 @@
 //! Starts the gateway, watches signals, and ends it.
 
-use latchhaven_gateway::config::{self, Known};
+use latchhaven_gateway::config;
 use latchhaven_gateway::counters::COUNTERS;
 use latchhaven_gateway::gateway::{Clock, Gateway};
 use latchhaven_gateway::net::clients::Clients;
@@ -72,7 +72,6 @@
     let (notes, noted) = mpsc::channel(NOTES_HELD);
     let (votes, cast) = mpsc::channel(VOTES_HELD);
     let (to_clients, connections) = ((sockets - KEPT) * CLIENTS_OF_EIGHT / 8, terms.connections());
-    let Known { list, news } = known;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     if let Some(addr) = addresses.platform {
         let within = Duration::from_secs_f64(connections.vote_within / 1000.0);
@@ -82,21 +81,20 @@
     }
     let pool = Pool::new(sockets - KEPT - to_clients, connections.clone(), notes.clone());
     let gateway = Gateway::new(
-        terms.start(seed),
+        terms.asking().start(seed),
         clock,
         pool,
         connections.dial_within,
         connections.reports,
-        news.unwrap_or_else(config::no_news),
         addresses.list,
         votes,
         notes.clone(),
     );
     let clients = Clients::new(to_clients, clock, notes);
-    let (name, listening) = (&addresses.name, addresses.listen);
-    tracing::info!(name, %listening, servers = list.entries.len(), "gateway starts");
+    let (name, listening) = (&addresses.name, listener.local_addr()?);
+    tracing::info!(name, %listening, servers = known.list.entries.len(), "gateway starts");
 
-    let mut gateway = tokio::task::spawn_local(gateway.run(list, noted));
+    let mut gateway = tokio::task::spawn_local(gateway.run(known, noted));
     let stopping = async {
         select! { _ = term.recv() => {}, _ = int.recv() => {} }
         tracing::info!("gateway stops: finishing what was taken");
--- a/crates/gateway/src/net/servers.rs
+++ b/crates/gateway/src/net/servers.rs
@@ -122,7 +122,8 @@
         if spot.life != life && stays {
             return Vec::new();
         }
-        (self.lives, spot.life) = (life, life);
+        // Connections that are still being opened belong to what was there before.
+        (self.lives, spot.life, spot.dialing) = (life, life, 0);
         spot.idle.drain(..).for_each(|link| link.close());
         spot.waiting.drain(..).map(|job| job.errand).collect()
     }
@@ -210,10 +211,10 @@
     /// A connection is up or ready again: it takes what waits longest, or idles.
     pub fn free(&mut self, link: Rc<Link>, first: bool, now: Ms) {
         let Some(spot) = self.spots.get_mut(&link.instance) else { return link.close() };
-        spot.dialing -= usize::from(first && spot.dialing > 0);
         if spot.life != link.life || link.over.get() {
             return link.close();
         }
+        spot.dialing -= usize::from(first);
         match spot.waiting.pop_front() {
             Some(job) => self.carry(link, job, now),
             None => {
@@ -226,8 +227,8 @@
     /// A connection never came up: what waits for it could not be sent.
     pub fn not_up(&mut self, link: &Rc<Link>) -> Option<Errand> {
         self.open -= 1;
-        let spot = self.spots.get_mut(&link.instance)?;
-        spot.dialing = spot.dialing.saturating_sub(1);
+        let spot = self.spots.get_mut(&link.instance).filter(|spot| spot.life == link.life)?;
+        spot.dialing -= 1;
         // Others may still come up for those that wait.
         (spot.waiting.len() > spot.dialing).then(|| spot.waiting.pop_front())?.map(|job| job.errand)
     }
--- /dev/null
+++ b/crates/gateway/tests/parsers.rs
@@ -0,0 +1,258 @@
+//! Parsers at every split point, with malformed, oversized and truncated input.
+
+use bytes::{Bytes, BytesMut};
+use latchhaven_gateway::proto::http::{self, Body, Part, Reader};
+use latchhaven_gateway::proto::pg::{self, Asked, Backend, Broken, Frontend, Told};
+use rstest::rstest;
+use std::fmt::Debug;
+
+/// Feeds bytes in two parts, cut at each place, and byte by byte: what is read is always the same.
+fn at_every_split<T: PartialEq + Debug, R>(
+    bytes: &[u8], start: impl Fn() -> R, mut next: impl FnMut(&mut R, &mut BytesMut) -> Option<T>,
+    join: impl Fn(Vec<T>) -> Vec<T>,
+) -> Vec<T> {
+    let mut read = |pieces: Vec<&[u8]>| {
+        let (mut reader, mut buf, mut got) = (start(), BytesMut::new(), Vec::new());
+        for piece in pieces {
+            buf.extend_from_slice(piece);
+            while let Some(part) = next(&mut reader, &mut buf) {
+                got.push(part);
+            }
+        }
+        assert!(buf.is_empty(), "left over: {buf:?}");
+        join(got)
+    };
+    let whole = read(vec![bytes]);
+    for cut in 0..=bytes.len() {
+        let (one, two) = bytes.split_at(cut);
+        assert_eq!(read(vec![one, two]), whole, "cut at {cut}");
+    }
+    assert_eq!(read(bytes.chunks(1).collect()), whole);
+    whole
+}
+
+fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind], &(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
+}
+
+fn startup() -> Vec<u8> {
+    pg::startup().to_vec()
+}
+
+#[test]
+fn a_client_is_read_alike_however_its_bytes_are_split() {
+    let ssl = [0, 0, 0, 8, 4, 210, 22, 47];
+    let stream = [
+        &ssl[..],
+        &startup(),
+        &pg::query("SELECT 1"),
+        &message(b'P', b"\0a\0\0\0"),
+        &message(b'B', b"\0\0\0\0\0\0\0\0"),
+        &message(b'S', b""),
+        &pg::query(""),
+        &message(b'X', b""),
+    ]
+    .concat();
+    let next = |frontend: &mut Frontend, buf: &mut BytesMut| frontend.next(buf).unwrap();
+    let got = at_every_split(&stream, Frontend::default, next, |got| got);
+    let query = |text: &'static str| Asked::Query(Bytes::from_static(text.as_bytes()));
+    let wanted = [
+        Asked::Encryption,
+        Asked::Startup,
+        query("SELECT 1"),
+        Asked::Extended,
+        Asked::Sync,
+        query(""),
+        Asked::Terminate,
+    ];
+    assert_eq!(got, wanted);
+}
+
+#[test]
+fn a_server_is_read_alike_however_its_bytes_are_split() {
+    let described = message(b'T', b"\0\x01doc\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01");
+    let (row, complete) = (message(b'D', b"\0\x01\0\0\0\x02\x9f\x03"), message(b'C', b"SELECT 1\0"));
+    let failed = message(b'E', b"SERROR\0C53300\0Mfull\0\0");
+    let (load, notice) = (message(b'S', b"load\0inflight=7\0"), message(b'N', b"SNOTICE\0\0"));
+    let stream = [
+        &message(b'R', &[0; 4])[..],
+        pg::READY,
+        &described,
+        &notice,
+        &row,
+        &load,
+        &complete,
+        pg::READY,
+        &failed,
+        pg::READY,
+    ]
+    .concat();
+    let next = |backend: &mut Backend, buf: &mut BytesMut| backend.next(buf).unwrap();
+    let got = at_every_split(&stream, Backend::default, next, |got| got);
+    let value = [described, row, complete].map(Bytes::from);
+    let load = Told::Parameter("load".to_string(), "inflight=7".to_string());
+    let failed = Told::Failed("53300".to_string());
+    assert_eq!(got, [Told::Ready, load, Told::Value(value), Told::Ready, failed, Told::Ready]);
+    assert_eq!(
+        pg::load("inflight=7,util=0.61,odd=x,far=inf"),
+        [("inflight".into(), 7.0), ("util".into(), 0.61)]
+    );
+}
+
+#[rstest]
+#[case::startup_too_long(b"\0\x01\0\0\0\x03\0\0".to_vec(), Broken::Length(65536))]
+#[case::startup_too_short(b"\0\0\0\x07".to_vec(), Broken::Length(7))]
+#[case::old_version(b"\0\0\0\x08\0\x02\0\0".to_vec(), Broken::Version(131_072))]
+#[case::http([&startup()[..], b"GET / HTTP/1.1\r\n"].concat(), Broken::Type(b'G'))]
+#[case::oversized([&startup()[..], b"Q\0\x04\0\0"].concat(), Broken::Length(262_144))]
+#[case::below_itself([&startup()[..], b"Q\0\0\0\x03"].concat(), Broken::Length(3))]
+fn a_client_out_of_step_is_told_so(#[case] bytes: Vec<u8>, #[case] why: Broken) {
+    let (mut frontend, mut buf) = (Frontend::default(), BytesMut::from(&bytes[..]));
+    let broken = loop {
+        match frontend.next(&mut buf) {
+            Ok(asked) => assert!(asked.is_some(), "more is waited for"),
+            Err(broken) => break broken,
+        }
+    };
+    assert_eq!(broken, why);
+}
+
+#[rstest]
+#[case::a_password(&message(b'R', &[0, 0, 0, 3]))]
+#[case::two_columns(&message(b'T', b"\0\x02"))]
+#[case::a_row_before_its_description(&message(b'D', b"\0\x01\0\0\0\0"))]
+#[case::two_rows(&[message(b'T', b"\0\x01"), message(b'D', b"\0\x01\0\0\0\0"), message(b'D', b"\0\x01\0\0\0\0")].concat())]
+#[case::a_row_cut_short(&[message(b'T', b"\0\x01"), message(b'D', b"\0\x01\0\0\0\x05ab")].concat())]
+#[case::no_row(&[message(b'T', b"\0\x01"), message(b'C', b"SELECT 0\0")].concat())]
+#[case::ready_too_early(&[message(b'T', b"\0\x01"), pg::READY.to_vec()].concat())]
+#[case::endless(b"D\x7f\xff\xff\xff")]
+#[case::unknown(b"\0\0\0\0\0")]
+fn a_server_out_of_step_is_told_so(#[case] bytes: &[u8]) {
+    let (mut backend, mut buf) = (Backend::default(), BytesMut::from(bytes));
+    let mut told = backend.next(&mut buf);
+    while matches!(told, Ok(Some(_))) {
+        told = backend.next(&mut buf);
+    }
+    assert!(told.is_err());
+}
+
+#[test]
+fn nothing_that_a_peer_writes_panics() {
+    // A fixed stream of bytes that a simple generator makes: the same at each run.
+    let mut state = 0x2545_f491_4f6c_dd1d_u64;
+    let mut byte = move || {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (state >> 56) as u8
+    };
+    for round in 0..2000 {
+        let noise: Vec<u8> = (0..64).map(|_| byte()).collect();
+        let kind = b"QPSXTDCEZNR"[round % 11];
+        let framed = message(kind, &noise[..round % 64]);
+        for bytes in [&noise, &framed] {
+            let mut buf = BytesMut::from(&[&startup()[..], bytes].concat()[..]);
+            let mut frontend = Frontend::default();
+            while let Ok(Some(_)) = frontend.next(&mut buf) {}
+            let mut backend = Backend::default();
+            let mut buf = BytesMut::from(&bytes[..]);
+            while let Ok(Some(_)) = backend.next(&mut buf) {}
+            let mut reader = Reader::default();
+            let mut buf = BytesMut::from(
+                &[b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", &bytes[..]].concat()[..],
+            );
+            while let Ok(Some(_)) = reader.next(&mut buf) {}
+            let _ = pg::statement(Bytes::copy_from_slice(bytes));
+        }
+    }
+    for text in [
+        "SELECT /*",
+        "SELECT /**/",
+        "SELECT */ /*",
+        "SELECT '/*=,=*/",
+        "INSERT INTO /*d=*/",
+        "SELECT /*d=9,id=,c=*/",
+    ] {
+        assert!(pg::statement(Bytes::from_static(text.as_bytes())).is_err(), "{text}");
+    }
+}
+
+#[rstest]
+#[case::select("SELECT doc FROM items WHERE id = '7f3a' /* id=9b1f,c=basket,t=acme,d=480 */", false)]
+#[case::insert(r"INSERT INTO items (id, doc) VALUES ('7f3a', '\x9f03') RETURNING doc /* k=5c,d=480,r=1,h=2500,c=basket,id=d=4 */", true)]
+#[case::spaces("SELECT doc FROM items WHERE id = '7f3a' /*  c=basket , d=480 ,t=acme, id=1 */ ", false)]
+fn a_statement_tells_what_its_comment_holds(#[case] text: &'static str, #[case] write: bool) {
+    let read = pg::statement(Bytes::from_static(text.as_bytes())).unwrap();
+    assert_eq!((read.product.as_str(), read.left, read.item.as_deref()), ("basket", 480.0, Some("7f3a")));
+    assert_eq!(&text[read.digits.clone()], "480");
+    assert_eq!((read.write, read.repeat, read.work), (write, write, write.then_some(2.5)));
+    assert_eq!(read.tenant.as_deref(), (!write).then_some("acme"));
+    let sent = pg::passed_on(&read, 71.9).concat();
+    let wanted = text.replace("d=480", "d=71");
+    assert_eq!(sent, pg::query(&wanted));
+}
+
+/// Pieces of one body are one body, however they were cut.
+fn joined(parts: Vec<Part>) -> Vec<Part> {
+    let mut all: Vec<Part> = Vec::new();
+    for part in parts {
+        match (all.last_mut(), part) {
+            (Some(Part::Body(had)), Part::Body(more)) => *had = [&had[..], &more[..]].concat().into(),
+            (_, part) => all.push(part),
+        }
+    }
+    all
+}
+
+#[test]
+fn answers_are_read_alike_however_their_bytes_are_split() {
+    let counted = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    let chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n5;x=y\r\nhello\r\n1\r\n!\r\n0\r\nA: b\r\n\r\n";
+    let empty = "HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    let stream = [counted, chunked, empty].concat();
+    let next = |reader: &mut Reader, buf: &mut BytesMut| reader.next(buf).unwrap();
+    let got = at_every_split(stream.as_bytes(), Reader::default, next, joined);
+    let (head, body) =
+        (|status, last| Part::Head { status, last }, |text: &'static str| Part::Body(text.into()));
+    let wanted = [
+        head(200, false),
+        body("hello"),
+        Part::End,
+        head(200, false),
+        body("hello!"),
+        Part::End,
+        head(503, true),
+        Part::End,
+    ];
+    assert_eq!(got, wanted);
+}
+
+#[rstest]
+#[case::not_http("220 ready\r\n\r\n".to_string())]
+#[case::no_status("HTTP/1.1 2x0 OK\r\n\r\n".to_string())]
+#[case::negative("HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n".to_string())]
+#[case::two_lengths("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n".to_string())]
+#[case::no_colon("HTTP/1.1 200 OK\r\nnonsense\r\n\r\n".to_string())]
+#[case::head_too_long(format!("HTTP/1.1 200 OK\r\nA: {}", "x".repeat(20_000)))]
+#[case::bad_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n".to_string())]
+#[case::huge_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff\r\n".to_string())]
+#[case::endless_size(format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", "0".repeat(300)))]
+#[case::no_end_of_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\naXX\r\n".to_string())]
+fn a_malformed_answer_is_told_so(#[case] bytes: String) {
+    let (mut reader, mut buf) = (Reader::default(), BytesMut::from(bytes.as_bytes()));
+    let mut part = reader.next(&mut buf);
+    while matches!(part, Ok(Some(_))) {
+        part = reader.next(&mut buf);
+    }
+    assert!(part.is_err());
+}
+
+#[test]
+fn a_body_is_bounded_and_split_into_lines() {
+    let mut body = Body::default();
+    body.add(b"one\r\n\ntw").unwrap();
+    assert_eq!((body.line(), body.line(), body.line()), (Some("one".into()), Some("".into()), None));
+    body.add(b"o\n").unwrap();
+    assert_eq!(body.line(), Some("two".into()));
+    assert!((0..100).any(|_| body.add(&[b'x'; 65536]).is_err()));
+    assert_eq!(http::get("h", "/p"), "GET /p HTTP/1.1\r\nHost: h\r\nAccept: application/json\r\n\r\n");
+}
--- /dev/null
+++ b/crates/gateway/tests/standins/mod.rs
@@ -0,0 +1,484 @@
+//! Small stand-ins on loopback: servers, the list, the platform, and clients; and the gateway's program.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Bounds every wait of a test; none rests on it being short.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// Waits until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LONG, "{what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Serves each connection on a thread of its own.
+fn listen(serve: impl Fn(TcpStream, usize) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for (number, stream) in listener.incoming().flatten().enumerate() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(stream, number));
+        }
+    });
+    addr
+}
+
+pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    let mut out = vec![kind];
+    out.extend((body.len() as u32 + 4).to_be_bytes());
+    out.extend(body);
+    out
+}
+
+pub fn row(value: &[u8]) -> Vec<u8> {
+    let mut described = vec![0, 1];
+    described.extend(b"doc\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01");
+    let mut data = vec![0, 1];
+    data.extend((value.len() as u32).to_be_bytes());
+    data.extend(value);
+    [message(b'T', &described), message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
+}
+
+pub fn error(code: &str) -> Vec<u8> {
+    message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes())
+}
+
+const READY: &[u8] = b"Z\0\0\0\x05I";
+const OK: &[u8] = b"R\0\0\0\x08\0\0\0\0";
+
+/// Reads one typed message; none at the end of the stream.
+pub fn read_message(stream: &mut TcpStream) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).ok()?;
+    let mut body = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
+    stream.read_exact(&mut body).ok()?;
+    Some((head[0], body))
+}
+
+fn read_startup(stream: &mut TcpStream) -> Option<()> {
+    let mut head = [0; 4];
+    stream.read_exact(&mut head).ok()?;
+    let mut rest = vec![0; u32::from_be_bytes(head) as usize - 4];
+    stream.read_exact(&mut rest).ok()
+}
+
+/// What a server does with a query.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Does {
+    /// Gives a row that holds the id of the query.
+    Serves,
+    ServesAfter(u64),
+    /// An error with this code, and stays ready.
+    Fails(&'static str),
+    /// An error with this code, and ends.
+    EndsWith(&'static str),
+    Silent,
+    /// Ends the connection once the query has come.
+    Resets,
+    /// Ends in the midst of the row.
+    CutsShort,
+    /// Answers what is no message.
+    Babbles,
+    /// A row that never ends.
+    Endless,
+    /// Serves, with notices and parameters between.
+    Chats,
+    /// Accepts a connection and says nothing.
+    NeverUp,
+    /// Serves and ends the connection just after.
+    ServesOnce,
+}
+
+#[derive(Default)]
+pub struct Seen {
+    /// Connection and text of each query, in order.
+    pub queries: Vec<(usize, String)>,
+    pub connections: usize,
+    /// Connections that the gateway has ended.
+    pub ended: Vec<usize>,
+}
+
+#[derive(Clone)]
+pub struct Server {
+    pub addr: SocketAddr,
+    pub does: Arc<Mutex<Does>>,
+    pub seen: Arc<Mutex<Seen>>,
+}
+
+impl Server {
+    pub fn start(does: Does) -> Self {
+        let (does, seen) = (Arc::new(Mutex::new(does)), Arc::new(Mutex::new(Seen::default())));
+        let (doing, saw) = (does.clone(), seen.clone());
+        let addr = listen(move |mut stream, number| {
+            saw.lock().unwrap().connections += 1;
+            Self::serve(&mut stream, number, &doing, &saw);
+            saw.lock().unwrap().ended.push(number);
+        });
+        Server { addr, does, seen }
+    }
+
+    fn serve(stream: &mut TcpStream, number: usize, does: &Mutex<Does>, seen: &Mutex<Seen>) -> Option<()> {
+        read_startup(stream)?;
+        if *does.lock().unwrap() == Does::NeverUp {
+            while read_message(stream).is_some() {}
+            return None;
+        }
+        stream.write_all(&[OK, READY].concat()).ok()?;
+        while let Some((kind, body)) = read_message(stream) {
+            assert_eq!(kind, b'Q');
+            let text = String::from_utf8(body[..body.len() - 1].to_vec()).unwrap();
+            let id = text.split("id=").nth(1).map_or("", |rest| rest.split([',', ' ']).next().unwrap());
+            let good = [&row(id.as_bytes()), READY].concat();
+            seen.lock().unwrap().queries.push((number, text.clone()));
+            let does = *does.lock().unwrap();
+            let answer = match does {
+                Does::Serves | Does::ServesOnce => good,
+                Does::ServesAfter(ms) => {
+                    thread::sleep(Duration::from_millis(ms));
+                    good
+                }
+                Does::Fails(code) => [&error(code), READY].concat(),
+                Does::EndsWith(code) => error(code),
+                Does::Silent | Does::NeverUp => continue,
+                Does::Resets => Vec::new(),
+                Does::CutsShort => good[..good.len() / 2].to_vec(),
+                Does::Babbles => b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec(),
+                Does::Endless => [message(b'T', b"\0\x01")[..5].to_vec(), vec![0x7f; 1 << 20]].concat(),
+                Does::Chats => [
+                    message(b'N', b"SNOTICE\0C00000\0Mhm\0\0"),
+                    message(b'S', b"load\0inflight=7,util=0.61\0"),
+                    good,
+                    message(b'S', b"a\0b\0"),
+                ]
+                .concat(),
+            };
+            stream.write_all(&answer).ok()?;
+            if matches!(does, Does::Resets | Does::CutsShort | Does::EndsWith(_) | Does::ServesOnce) {
+                return stream.shutdown(Shutdown::Both).ok();
+            }
+        }
+        None
+    }
+
+    pub fn set(&self, does: Does) {
+        *self.does.lock().unwrap() = does;
+    }
+
+    pub fn queries(&self) -> Vec<(usize, String)> {
+        self.seen.lock().unwrap().queries.clone()
+    }
+}
+
+/// Reads the head of a call and its body.
+fn read_call(stream: &mut TcpStream) -> Option<(String, String)> {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let length = head
+        .split("Content-Length: ")
+        .nth(1)
+        .map_or(0, |rest| rest.split('\r').next().unwrap().parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some((head.lines().next().unwrap().to_string(), String::from_utf8(body).unwrap()))
+}
+
+pub const STREAM: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+pub fn answer(status: u16, body: &str) -> String {
+    format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// What a stand-in over HTTP does with one call.
+#[derive(Clone, Debug)]
+pub enum Says {
+    /// These bytes; the connection stays.
+    Bytes(String),
+    /// These bytes, and the end.
+    Last(String),
+    Nothing,
+}
+
+/// A service over HTTP: calls are noted, answers are as set, and open streams can be written to.
+#[derive(Clone)]
+pub struct Service {
+    pub addr: SocketAddr,
+    pub calls: Arc<Mutex<Vec<(String, String)>>>,
+    pub says: Arc<Mutex<Box<dyn Fn(&str) -> Says + Send>>>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Service {
+    pub fn start(says: impl Fn(&str) -> Says + Send + 'static) -> Self {
+        let says: Arc<Mutex<Box<dyn Fn(&str) -> Says + Send>>> = Arc::new(Mutex::new(Box::new(says)));
+        let (calls, streams) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
+        let (said, noted, kept) = (says.clone(), calls.clone(), streams.clone());
+        let addr = listen(move |mut stream, _| {
+            while let Some((line, body)) = read_call(&mut stream) {
+                let says = said.lock().unwrap()(&line);
+                let text = if let Says::Bytes(text) | Says::Last(text) = &says { text.as_str() } else { "" };
+                if stream.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+                if text.starts_with(STREAM) {
+                    kept.lock().unwrap().push(stream.try_clone().unwrap());
+                }
+                noted.lock().unwrap().push((line, body));
+                if matches!(says, Says::Last(_)) {
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return;
+                }
+            }
+        });
+        Service { addr, calls, says, streams }
+    }
+
+    pub fn set(&self, says: impl Fn(&str) -> Says + Send + 'static) {
+        *self.says.lock().unwrap() = Box::new(says);
+    }
+
+    /// Writes to all open streams.
+    pub fn write(&self, text: &str) {
+        self.streams.lock().unwrap().retain_mut(|stream| stream.write_all(text.as_bytes()).is_ok());
+    }
+
+    pub fn end_streams(&self) {
+        self.streams.lock().unwrap().drain(..).for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+    }
+
+    pub fn count(&self, part: &str) -> usize {
+        self.calls.lock().unwrap().iter().filter(|(line, _)| line.contains(part)).count()
+    }
+}
+
+/// One entry of the list.
+pub fn host(id: &str, addr: SocketAddr, health: &str, build: u32) -> Value {
+    json!({"host": id, "dial": addr.to_string(), "site": "a", "class": "m", "block": 1, "health": health,
+        "share": 1.0, "born_ms": 0, "release": build})
+}
+
+pub fn list(version: u64, whole: bool, hosts: &[Value]) -> Value {
+    json!({"seq": version, "whole": whole, "hosts": hosts})
+}
+
+pub fn state(build: u32, step: u32, status: &str, cap: f64) -> Value {
+    json!({"version": build, "step": step, "status": status, "maxWeight": cap, "observedAgoMs": 10})
+}
+
+/// A platform that tells this state, and answers votes as given.
+pub fn feed(news: Value, votes: impl Fn(&str) -> Says + Send + 'static) -> Service {
+    let line = json!({"type": "ROLLOUT", "object": news}).to_string() + "\n";
+    Service::start(move |call| match call.contains("ballots") {
+        true => votes(call),
+        false => Says::Bytes(format!("{STREAM}{}", chunk(&line))),
+    })
+}
+
+/// A configuration that any story may change before the start.
+pub fn config(hosts: &[Value], discovery: SocketAddr, platform: SocketAddr) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "aim-s": 0.6, "hard-limit-s": 2.0, "effect": effect, "group": "all",
+            "dedup-window-s": 3.0, "gain": 1.0})
+    };
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "pipeline": {"address": platform.to_string(), "news": state(1, 0, "COMPLETE", 1.0)},
+        "known": list(5, true, hosts),
+        "settings": {"classes": [class("look", "idempotent"), class("book", "deduplicated"), class("pay", "at_most_once")],
+            "domain": {"allowance": 2.0, "caps": [0.1, 1.0], "window-s": 2.0, "counts": "all", "vote-mode": "single",
+                "votes-to-go": 1, "votes-to-revert": 1, "vote-ttl-s": 4.0, "soak-s": 1.0, "api-timeout-s": 0.5,
+                "style": "rolling"},
+            "me": 0, "replicas-of-me": 1, "registry-mode": "subscribe",
+            "permissions": {"cancelling": true, "second-copies": false, "try-limit": 3, "conn-idle-s": 10.0,
+                "dial-timeout-s": 0.25},
+            "rules": {"ask-within-s": 1.0, "drain-grace-s": 1.0, "cold-from": 0.5, "warm-up-s": 1.0,
+                "tip-multiple": 3.0, "fall-s": 1.0}}})
+}
+
+/// The gateway's program, and what it speaks with.
+pub struct Gateway {
+    child: Child,
+    pub addr: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+    pub list: Service,
+    pub platform: Service,
+}
+
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
+/// Starts the program with a configuration; what it logs can be read as it comes.
+pub fn spawn(config: &str, variables: &[(&str, &str)]) -> (Child, Arc<Mutex<Vec<String>>>) {
+    let number = STARTED.fetch_add(1, SeqCst);
+    let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_latchhaven"));
+    command.env_clear().env("BALANCER_CONFIG", &path).envs(variables.iter().copied());
+    let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+    let (log, lines) =
+        (Arc::new(Mutex::new(Vec::new())), BufReader::new(child.stderr.take().unwrap()).lines());
+    let filled = log.clone();
+    thread::spawn(move || lines.map_while(Result::ok).for_each(|line| filled.lock().unwrap().push(line)));
+    (child, log)
+}
+
+impl Gateway {
+    pub fn start(servers: &[&Server]) -> Self {
+        Self::start_with(servers, |_| ())
+    }
+
+    pub fn start_with(servers: &[&Server], change: impl FnOnce(&mut Value)) -> Self {
+        Self::start_among(servers, feed(state(1, 0, "COMPLETE", 1.0), |_| Says::Nothing), change)
+    }
+
+    pub fn start_among(servers: &[&Server], platform: Service, change: impl FnOnce(&mut Value)) -> Self {
+        let list = Service::start(|_| Says::Bytes(format!("{STREAM}{}", chunk("\n"))));
+        let hosts = servers.iter().enumerate();
+        let hosts: Vec<Value> =
+            hosts.map(|(n, server)| host(&format!("s{n}"), server.addr, "up", 1)).collect();
+        let mut config = config(&hosts, list.addr, platform.addr);
+        change(&mut config);
+        let (child, log) = spawn(&config.to_string(), &[]);
+        let mut addr = None;
+        until("the gateway listens", || {
+            let log = log.lock().unwrap();
+            let line = log.iter().find(|line| line.contains("gateway starts"));
+            let found =
+                line.and_then(|line| line.split("listening=").nth(1)?.split(' ').next()?.parse().ok());
+            addr = found;
+            found.is_some()
+        });
+        Gateway { child, addr: addr.unwrap(), log, list, platform }
+    }
+
+    pub fn client(&self) -> Client {
+        let mut client = Client::connect(self.addr);
+        client.send(&startup());
+        assert_eq!(client.answer().last().map(|(kind, _)| *kind), Some(b'Z'));
+        client
+    }
+
+    pub fn logged(&self, part: &str) -> bool {
+        self.log.lock().unwrap().iter().any(|line| line.contains(part))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// A counter, as printed now.
+    pub fn counter(&self, name: &str) -> u64 {
+        let printed = |log: &[String]| log.iter().filter(|line| line.contains("counters:")).count();
+        let before = printed(&self.log.lock().unwrap());
+        self.signal("USR1");
+        until("the counters are printed", || printed(&self.log.lock().unwrap()) > before);
+        let log = self.log.lock().unwrap();
+        let line = log.iter().rfind(|line| line.contains("counters:")).unwrap();
+        let figure = line.split(&format!(" {name}=")).nth(1).unwrap_or_else(|| panic!("{name} in {line}"));
+        figure.split(' ').next().unwrap().parse().unwrap()
+    }
+
+    /// Waits for the end; the exit code.
+    pub fn ended(&mut self) -> Option<i32> {
+        let mut code = None;
+        until("the gateway ends", || {
+            code = self.child.try_wait().unwrap();
+            code.is_some()
+        });
+        code.unwrap().code()
+    }
+
+    pub fn alive(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn startup() -> Vec<u8> {
+    let names = b"user\0app\0database\0shop\0\0";
+    [&(names.len() as u32 + 8).to_be_bytes()[..], &(3u32 << 16).to_be_bytes(), names].concat()
+}
+
+pub fn select(id: &str, product: &str, wait: u32) -> String {
+    format!("SELECT doc FROM items WHERE id = '7f3a' /* id={id},c={product},t=acme,d={wait} */")
+}
+
+pub fn query(text: &str) -> Vec<u8> {
+    message(b'Q', &[text.as_bytes(), b"\0"].concat())
+}
+
+pub type Answer = Vec<(u8, Vec<u8>)>;
+
+pub struct Client(pub TcpStream);
+
+impl Client {
+    pub fn connect(addr: SocketAddr) -> Self {
+        let stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Client(stream)
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).unwrap();
+    }
+
+    /// All messages up to ReadyForQuery, or to the end of the connection.
+    pub fn answer(&mut self) -> Answer {
+        let mut messages = Vec::new();
+        while let Some(message) = read_message(&mut self.0) {
+            messages.push(message);
+            if messages.last().unwrap().0 == b'Z' {
+                break;
+            }
+        }
+        messages
+    }
+
+    pub fn ask(&mut self, text: &str) -> Answer {
+        self.send(&query(text));
+        self.answer()
+    }
+}
+
+/// The value of an answer, or its code.
+pub fn outcome(answer: &Answer) -> Result<String, String> {
+    let found = answer.iter().find_map(|(kind, body)| match kind {
+        b'D' => Some(Ok(String::from_utf8(body[6..].to_vec()).unwrap())),
+        b'E' => {
+            let code = body.split(|byte| *byte == 0).find(|field| field.first() == Some(&b'C')).unwrap();
+            Some(Err(String::from_utf8(code[1..].to_vec()).unwrap()))
+        }
+        _ => None,
+    });
+    found.unwrap_or_else(|| Err(format!("neither row nor error in {answer:?}")))
+}
--- /dev/null
+++ b/crates/gateway/tests/stories.rs
@@ -0,0 +1,485 @@
+//! Stories over loopback: the gateway's program between stand-ins, one for each failure.
+
+mod standins;
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use standins::*;
+use std::io::{Read, Write};
+use std::net::Shutdown;
+use std::thread;
+use std::time::Duration;
+
+fn insert(id: &str, product: &str, wait: u32) -> String {
+    format!(
+        r"INSERT INTO items (id, doc) VALUES ('7f', '\x9f03') RETURNING doc /* d={wait},k=5c,id={id},t=acme,c={product} */"
+    )
+}
+
+#[rstest]
+#[case::settled(Does::Serves, "sub_settled", Ok("a1"))]
+#[case::among_notices(Does::Chats, "sub_settled", Ok("a1"))]
+#[case::error(Does::Fails("XX000"), "sub_error", Err("XX000"))]
+#[case::queue_full(Does::Fails("53300"), "sub_turned_away", Err("53300"))]
+#[case::starting(Does::EndsWith("57P03"), "sub_turned_away", Err("53300"))]
+#[case::lost_after_the_query(Does::Resets, "sub_lost", Err("XX000"))]
+#[case::lost_within_the_row(Does::CutsShort, "sub_lost", Err("XX000"))]
+#[case::no_message(Does::Babbles, "sub_lost", Err("XX000"))]
+#[case::endless(Does::Endless, "sub_lost", Err("XX000"))]
+#[case::silent(Does::Silent, "sub_no_answer", Err("XX000"))]
+#[case::never_up(Does::NeverUp, "sub_no_connection", Err("53300"))]
+fn each_way_a_submission_ends_is_told_as_what_it_is(
+    #[case] does: Does, #[case] counter: &str, #[case] told: Result<&str, &str>,
+) {
+    let server = Server::start(does);
+    let gateway = Gateway::start(&[&server]);
+    let answer = gateway.client().ask(&insert("a1", "pay", 1000));
+    assert_eq!(outcome(&answer), told.map(str::to_string).map_err(str::to_string));
+    assert_eq!(answer.iter().filter(|(kind, _)| *kind == b'Z').count(), 1);
+    assert!(gateway.counter(counter) >= 1, "{counter}");
+    // A once-only txn that may have run goes nowhere else; one that provably never ran may.
+    let ran = told != Err("53300");
+    assert!(!ran || gateway.counter("submissions") == 1);
+    assert_eq!(gateway.counter("broken_assertions"), 0);
+    let queries = server.queries();
+    assert!(queries.iter().all(|(_, text)| text.starts_with("INSERT INTO items (id, doc) VALUES ('7f',")));
+}
+
+#[test]
+fn a_refused_connection_never_ran() {
+    let server = Server::start(Does::Serves);
+    let mut gone = server.clone();
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    gone.addr = closed.local_addr().unwrap();
+    drop(closed);
+    let gateway = Gateway::start(&[&gone]);
+    assert_eq!(outcome(&gateway.client().ask(&insert("a1", "pay", 900))), Err("53300".to_string()));
+    assert!(gateway.counter("sub_no_connection") >= 1);
+    assert!(server.queries().is_empty());
+}
+
+#[test]
+fn a_statement_goes_on_byte_for_byte_but_for_the_time_left() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    assert_eq!(outcome(&gateway.client().ask(&insert("a1", "pay", 1900))), Ok("a1".to_string()));
+    let text = server.queries()[0].1.clone();
+    let wait = text.split("d=").nth(1).unwrap().split(',').next().unwrap().parse::<u32>().unwrap();
+    assert!((1..=1900).contains(&wait), "{wait}");
+    assert_eq!(text, insert("a1", "pay", wait));
+}
+
+#[test]
+fn a_silent_server_is_left_by_closing_before_another_copy_goes_out() {
+    let (silent, other) = (Server::start(Does::Silent), Server::start(Does::Silent));
+    let gateway = Gateway::start(&[&silent, &other]);
+    let mut client = gateway.client();
+    client.send(&query(&select("a1", "look", 1500)));
+    until("both are tried", || silent.queries().len() + other.queries().len() >= 2);
+    let first = if silent.queries().is_empty() { &other } else { &silent };
+    until("the first connection is ended", || first.seen.lock().unwrap().ended.contains(&0));
+    assert_eq!(outcome(&client.answer()), Err("53300".to_string()));
+    // What was told to be recalled is over: nothing of it is out any more.
+    until("all are ended", || {
+        [&silent, &other].iter().all(|server| {
+            let seen = server.seen.lock().unwrap();
+            seen.ended.len() == seen.connections
+        })
+    });
+    assert_eq!(gateway.counter("broken_assertions"), 0);
+}
+
+#[test]
+fn an_answer_after_its_recall_goes_nowhere() {
+    let (late, good) = (Server::start(Does::ServesAfter(450)), Server::start(Does::ServesAfter(450)));
+    let gateway = Gateway::start(&[&late, &good]);
+    let mut client = gateway.client();
+    client.send(&query(&select("a1", "look", 1900)));
+    until("one is asked", || late.queries().len() + good.queries().len() == 1);
+    let quick = if late.queries().is_empty() { &late } else { &good };
+    quick.set(Does::Serves);
+    assert_eq!(outcome(&client.answer()), Ok("a1".to_string()));
+    thread::sleep(Duration::from_millis(300));
+    // Had the late row come through, this would be answered with it.
+    assert_eq!(outcome(&client.ask(&select("a2", "look", 1900))), Ok("a2".to_string()));
+}
+
+#[test]
+fn connections_are_used_again_one_txn_at_a_time() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    let mut client = gateway.client();
+    for n in 0..5 {
+        assert_eq!(outcome(&client.ask(&select(&format!("a{n}"), "look", 900))), Ok(format!("a{n}")));
+    }
+    assert_eq!(server.seen.lock().unwrap().connections, 1);
+    server.set(Does::ServesAfter(100));
+    let mut others: Vec<Client> = (0..2).map(|_| gateway.client()).collect();
+    others
+        .iter_mut()
+        .enumerate()
+        .for_each(|(n, other)| other.send(&query(&select(&format!("b{n}"), "look", 900))));
+    let got: Vec<_> = others.iter_mut().map(|other| outcome(&other.answer())).collect();
+    assert_eq!(got, [Ok("b0".to_string()), Ok("b1".to_string())]);
+    let (one, two) = (server.queries()[5].0, server.queries()[6].0);
+    assert_ne!(one, two);
+}
+
+#[test]
+fn a_server_that_ends_idle_connections_costs_no_txn() {
+    let server = Server::start(Does::ServesOnce);
+    let gateway = Gateway::start(&[&server]);
+    let mut client = gateway.client();
+    for n in 0..10 {
+        assert_eq!(outcome(&client.ask(&insert(&format!("a{n}"), "pay", 900))), Ok(format!("a{n}")));
+        until("the end is seen", || server.seen.lock().unwrap().ended.len() == n + 1);
+    }
+    assert_eq!(gateway.counter("sub_lost"), 0);
+}
+
+#[test]
+fn idle_connections_are_closed_before_the_server_does() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start_with(&[&server], |config| {
+        config["settings"]["permissions"]["conn-idle-s"] = json!(0.3);
+    });
+    gateway.client().ask(&select("a1", "look", 900));
+    until("it is closed", || server.seen.lock().unwrap().ended == [0]);
+}
+
+#[rstest]
+#[case::whole(1)]
+#[case::byte_by_byte(usize::MAX)]
+fn startup_and_queries_in_one_piece_are_answered_in_order(#[case] pieces: usize) {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    let mut client = Client::connect(gateway.addr);
+    let ssl = [&8u32.to_be_bytes()[..], &80_877_103u32.to_be_bytes()].concat();
+    let gss = [&8u32.to_be_bytes()[..], &80_877_104u32.to_be_bytes()].concat();
+    client.send(&[ssl, gss].concat());
+    let mut no = [0; 2];
+    client.0.read_exact(&mut no).unwrap();
+    assert_eq!(&no, b"NN");
+    let all = [startup(), query(&select("a1", "look", 1900)), query(" "), query(&insert("a2", "book", 1900))]
+        .concat();
+    all.chunks(all.len().div_ceil(pieces)).for_each(|piece| client.send(piece));
+    client.answer();
+    assert_eq!(outcome(&client.answer()), Ok("a1".to_string()));
+    assert_eq!(client.answer(), [(b'I', vec![]), (b'Z', b"I".to_vec())]);
+    assert_eq!(outcome(&client.answer()), Ok("a2".to_string()));
+}
+
+#[rstest]
+#[case::no_comment("SELECT 1", "42601")]
+#[case::no_time("SELECT doc FROM items WHERE id = 'a' /* id=a,c=look */", "42601")]
+#[case::bad_time("SELECT doc FROM items WHERE id = 'a' /* id=a,c=look,d=-5 */", "42601")]
+#[case::other_statement("DROP TABLE items /* id=a,c=look,d=50 */", "42601")]
+#[case::unknown_product("SELECT doc FROM items WHERE id = 'a' /* id=a,c=none,d=500 */", "XX000")]
+fn a_bad_query_gets_an_error_and_the_next_one_is_served(#[case] text: &str, #[case] code: &str) {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    let mut client = gateway.client();
+    let answer = client.ask(text);
+    assert_eq!(outcome(&answer), Err(code.to_string()));
+    assert_eq!(answer.last(), Some(&(b'Z', b"I".to_vec())));
+    assert_eq!(outcome(&client.ask(&select("a2", "look", 900))), Ok("a2".to_string()));
+    assert_eq!(server.queries().len(), 1);
+}
+
+#[rstest]
+#[case::too_long(b"Q\x7f\xff\xff\xff".to_vec())]
+#[case::too_short(b"Q\0\0\0\x01".to_vec())]
+#[case::unknown_type(b"\x01\0\0\0\x04".to_vec())]
+#[case::no_terminator(message(b'Q', b"SELECT 1"))]
+fn a_broken_stream_ends_with_a_fatal_error_and_touches_no_other(#[case] bytes: Vec<u8>) {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    let (mut broken, mut sound) = (gateway.client(), gateway.client());
+    let answer = broken.ask("");
+    assert_eq!(answer[0].0, b'I');
+    broken.send(&bytes);
+    let answer = broken.answer();
+    assert_eq!(outcome(&answer), Err("08P01".to_string()));
+    assert!(answer[0].1.starts_with(b"SFATAL\0"));
+    assert_eq!(broken.0.read(&mut [0]).unwrap(), 0);
+    assert_eq!(outcome(&sound.ask(&select("a2", "look", 900))), Ok("a2".to_string()));
+}
+
+#[test]
+fn extended_queries_are_declined_and_cancels_and_terminates_end() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    let mut client = gateway.client();
+    client.send(
+        &[message(b'P', b"\0SELECT 1\0\0\0"), message(b'B', b"\0\0\0\0\0\0\0\0"), message(b'S', b"")]
+            .concat(),
+    );
+    let answer = client.answer();
+    assert_eq!(outcome(&answer), Err("0A000".to_string()));
+    assert_eq!(answer.len(), 2);
+    client.send(&message(b'X', b""));
+    assert_eq!(client.0.read(&mut [0]).unwrap(), 0);
+    let mut cancel = Client::connect(gateway.addr);
+    cancel.send(&[&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), &[0; 8]].concat());
+    assert_eq!(cancel.0.read(&mut [0]).unwrap(), 0);
+}
+
+#[test]
+fn a_client_that_vanishes_is_told_at_once_and_its_submission_is_called_back() {
+    let server = Server::start(Does::Silent);
+    let gateway = Gateway::start(&[&server]);
+    let mut client = gateway.client();
+    client.send(&query(&insert("a1", "pay", 60_000)));
+    until("it is asked", || server.queries().len() == 1);
+    drop(client);
+    until("it is called back", || server.seen.lock().unwrap().ended == [0]);
+    assert_eq!((gateway.counter("clients_gone"), gateway.counter("sub_recalled")), (1, 1));
+}
+
+#[test]
+fn a_client_that_reads_nothing_holds_up_no_other() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    let mut lazy = gateway.client();
+    lazy.0.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
+    let many = query(&select("a1", "look", 900)).repeat(2000);
+    // Its answers fill what the machine holds for it; then nothing more of it is read.
+    while lazy.0.write_all(&many).is_ok() && lazy.0.peek(&mut [0]).is_err() {}
+    assert_eq!(outcome(&gateway.client().ask(&select("b1", "look", 1900))), Ok("b1".to_string()));
+}
+
+#[test]
+fn a_full_set_of_descriptors_turns_new_clients_away_and_serves_the_others() {
+    let server = Server::start(Does::Silent);
+    let gateway = Gateway::start_with(&[&server], |config| config["limits"]["sockets"] = json!(64));
+    // Of the 16 descriptors that are left 8 are for clients.
+    let mut busy: Vec<Client> = (0..8).map(|_| gateway.client()).collect();
+    busy.iter_mut().for_each(|client| client.send(&query(&select("a", "look", 1500))));
+    until("all are taken", || gateway.counter("txns") == 8);
+    let mut more = Client::connect(gateway.addr);
+    more.send(&startup());
+    assert_eq!(outcome(&more.answer()), Err("53300".to_string()));
+    server.set(Does::Serves);
+    assert!(busy.iter_mut().all(|client| client.answer().last().unwrap().0 == b'Z'));
+    // Idle ones make room.
+    gateway.client();
+}
+
+#[test]
+fn running_out_of_descriptors_neither_ends_nor_blocks_the_gateway() {
+    let server = Server::start(Does::Serves);
+    let mut gateway = Gateway::start(&[&server]);
+    let mut client = gateway.client();
+    client.ask(&select("a1", "look", 900));
+    server.set(Does::ServesAfter(400));
+    client.send(&query(&select("a2", "look", 1900)));
+    until("it is taken", || server.queries().len() == 2);
+    let limit = |files: &str| {
+        let pid = gateway.pid().to_string();
+        let done = std::process::Command::new("prlimit")
+            .args(["--pid", &pid, &format!("--nofile={files}:1024")])
+            .status();
+        assert!(done.unwrap().success());
+    };
+    limit("3");
+    let mut late = Client::connect(gateway.addr);
+    late.send(&[startup(), query(&select("b1", "look", 60_000))].concat());
+    until("accepting fails", || gateway.logged("accept failed"));
+    assert_eq!(outcome(&client.answer()), Ok("a2".to_string()));
+    limit("256");
+    late.answer();
+    assert_eq!(outcome(&late.answer()), Ok("b1".to_string()));
+    assert!(gateway.alive());
+}
+
+#[test]
+fn the_list_is_watched_from_the_version_held_and_its_changes_count_at_once() {
+    let (old, new) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    let gateway = Gateway::start(&[&old]);
+    until("the list is watched", || gateway.list.count("GET /v1/servers?watch=1&after=5 ") == 1);
+    let changes = [host("s0", old.addr, "draining", 1), host("s1", new.addr, "up", 1)];
+    let line = list(6, false, &changes).to_string() + "\n";
+    // Cut anywhere, also within a chunk.
+    let (one, two) = line.split_at(line.len() / 2);
+    gateway.list.write(&chunk(one));
+    gateway.list.write(&chunk(two));
+    until("it is read", || gateway.counter("list_changes") == 2);
+    let mut client = gateway.client();
+    for n in 0..4 {
+        assert_eq!(outcome(&client.ask(&select(&format!("a{n}"), "look", 1900))), Ok(format!("a{n}")));
+    }
+    assert_eq!((old.queries().len(), new.queries().len()), (0, 4));
+}
+
+#[test]
+fn an_id_that_returns_at_another_address_is_found_there() {
+    let (old, new) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    let gateway = Gateway::start(&[&old]);
+    let mut client = gateway.client();
+    client.ask(&select("a1", "look", 900));
+    until("the list is watched", || gateway.list.count("watch") == 1);
+    let line = list(9, true, &[host("s0", new.addr, "up", 1)]).to_string() + "\n";
+    gateway.list.write(&chunk(&line));
+    until("the old connection is dropped", || old.seen.lock().unwrap().ended == [0]);
+    assert_eq!(outcome(&client.ask(&select("a2", "look", 1900))), Ok("a2".to_string()));
+    assert_eq!((old.queries().len(), new.queries().len()), (1, 1));
+}
+
+#[rstest]
+#[case::unavailable(Says::Last(answer(503, "")))]
+#[case::broken_json(Says::Bytes(format!("{STREAM}{}", chunk("{\"seq\":7,\n"))))]
+#[case::unknown_health(Says::Bytes(format!("{STREAM}{}", chunk("{\"seq\":7,\"whole\":true,\"hosts\":[{\"host\":\"a\",\"dial\":\"1.2.3.4:5\",\"health\":\"odd\"}]}\n"))))]
+#[case::no_http(Says::Bytes("220 ready\r\n\r\n".to_string()))]
+#[case::cut_off(Says::Last(format!("{STREAM}5\r\nab")))]
+#[case::silent(Says::Nothing)]
+fn a_call_for_the_list_that_fails_is_told_and_made_again_while_txns_are_served(#[case] says: Says) {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    until("the list is watched", || gateway.list.count("watch") == 1);
+    gateway.list.set(move |_| says.clone());
+    gateway.list.end_streams();
+    until("it is asked again and again", || {
+        gateway.list.count("watch") >= 3 && gateway.counter("list_failures") >= 2
+    });
+    assert_eq!(outcome(&gateway.client().ask(&select("a1", "look", 900))), Ok("a1".to_string()));
+}
+
+#[test]
+fn a_watch_without_a_sign_of_life_is_ended() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    until("silence is noticed", || gateway.logged("no sign of life") && gateway.list.count("watch") >= 2);
+}
+
+#[test]
+fn a_lost_feed_is_opened_again_and_a_bad_line_is_passed_over() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    until("the feed is open", || gateway.platform.count("GET /v1/feed") == 1);
+    let sample = json!({"type": "SAMPLE", "object": {"version": 1, "kind": "look", "requests": 57, "failures": 2,
+        "avgMs": 18.5, "observedAgoMs": 900}});
+    gateway.platform.write(&chunk("{nonsense\n"));
+    gateway.platform.write(&chunk(&format!("{{}}\n{sample}\n")));
+    until("the tally is told", || gateway.counter("tallies_told") == 1);
+    gateway.platform.end_streams();
+    until("it is open again", || gateway.platform.count("GET /v1/feed") == 2);
+}
+
+#[rstest]
+#[case::counts(Says::Bytes(answer(200, &state(2, 1, "IN_PROGRESS", 1.0).to_string())), "votes_counted")]
+#[case::busy(Says::Bytes(answer(429, r#"{"error":"BUSY"}"#)), "votes_not_counted")]
+#[case::stale(Says::Bytes(answer(409, r#"{"error":"STALE"}"#)), "votes_not_counted")]
+#[case::failed(Says::Bytes(answer(500, r#"{"error":"FAILED"}"#)), "votes_not_counted")]
+#[case::syntax(Says::Bytes(answer(400, r#"{"error":"SYNTAX"}"#)), "votes_not_counted")]
+#[case::cut_off(Says::Last("HTTP/1.1 200 OK\r\nContent-Le".to_string()), "votes_unsure")]
+#[case::unreadable(Says::Bytes(answer(200, "{}")), "votes_unsure")]
+#[case::silent(Says::Nothing, "votes_unsure")]
+fn each_way_a_vote_ends_is_told_as_what_it_is(#[case] says: Says, #[case] counter: &str) {
+    let (earlier, trial) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    let platform = feed(state(2, 0, "IN_PROGRESS", 0.5), move |_| says.clone());
+    let gateway = Gateway::start_among(&[&earlier, &trial], platform, |config| {
+        config["known"]["hosts"][1]["release"] = json!(2);
+        config["pipeline"]["news"] = state(2, 0, "IN_PROGRESS", 0.5);
+    });
+    until("it is voted on", || gateway.platform.count("POST /v1/ballots") > 0);
+    until("its end is told", || gateway.counter(counter) >= 1);
+    let calls = gateway.platform.calls.lock().unwrap().clone();
+    let body = &calls.iter().find(|(line, _)| line.contains("ballots")).unwrap().1;
+    let vote: Value = serde_json::from_str(body).unwrap();
+    assert_eq!(vote, json!({"version": 2, "step": 0, "vote": "approve"}));
+    let others =
+        ["votes_counted", "votes_not_counted", "votes_unsure"].into_iter().filter(|other| *other != counter);
+    let others: Vec<(&str, u64)> = others.map(|other| (other, gateway.counter(other))).collect();
+    assert!(others.iter().all(|(_, figure)| *figure == 0), "{others:?}");
+}
+
+#[test]
+fn what_was_taken_before_a_stop_is_answered_and_the_exit_is_clean() {
+    let server = Server::start(Does::ServesAfter(300));
+    let mut gateway = Gateway::start(&[&server]);
+    let (mut busy, mut idle) = (gateway.client(), gateway.client());
+    busy.send(&query(&select("a1", "look", 1900)));
+    until("it is taken", || server.queries().len() == 1);
+    gateway.signal("TERM");
+    assert_eq!(idle.0.read(&mut [0]).unwrap(), 0);
+    // The front hands out connections for a while yet.
+    let mut late = gateway.client();
+    assert_eq!(outcome(&late.ask(&select("b1", "look", 1900))), Ok("b1".to_string()));
+    assert_eq!(outcome(&busy.answer()), Ok("a1".to_string()));
+    assert_eq!(busy.0.read(&mut [0]).unwrap(), 0);
+    assert_eq!(gateway.ended(), Some(0));
+    assert!(gateway.logged(" settled=2 "));
+}
+
+#[test]
+fn after_a_kill_it_starts_again_at_its_address_from_what_is_known() {
+    let server = Server::start(Does::Serves);
+    let mut first = Gateway::start(&[&server]);
+    let addr = first.addr;
+    first.client().ask(&select("a1", "look", 900));
+    first.signal("KILL");
+    first.ended();
+    let second = Gateway::start_with(&[&server], |config| config["listen"] = json!(addr.to_string()));
+    assert_eq!(outcome(&second.client().ask(&select("a2", "look", 900))), Ok("a2".to_string()));
+}
+
+#[test]
+fn a_log_that_nobody_reads_stalls_nothing() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start(&[&server]);
+    // Many lines for a reader that keeps up only slowly: none is waited for.
+    for _ in 0..50 {
+        gateway.signal("USR1");
+    }
+    assert_eq!(outcome(&gateway.client().ask(&select("a1", "look", 900))), Ok("a1".to_string()));
+}
+
+#[rstest]
+#[case::class("/settings/classes/0/aim-s", json!("soon"), "classes[0].aim-s")]
+#[case::effect("/settings/classes/1/effect", json!("sometimes"), "classes[1].effect")]
+#[case::missing("/settings/domain", json!({}), "domain")]
+#[case::listen("/listen", json!("nowhere"), "listen")]
+#[case::discovery("/discovery", json!(7), "discovery")]
+#[case::no_sockets("/limits/sockets", json!(0), "limits.sockets")]
+#[case::no_memory("/limits/memory_mb", json!(0), "limits.memory_mb")]
+#[case::platform("/pipeline/address", json!("x"), "pipeline.address")]
+#[case::news("/pipeline/news/status", json!("ODD"), "pipeline.news: status")]
+#[case::known("/known/hosts/0/dial", json!("x"), "known: hosts[0].dial")]
+#[case::seed("/seed", json!("xyz"), "seed")]
+fn a_faulty_key_ends_the_start_with_one_line_that_names_it(
+    #[case] at: &str, #[case] value: Value, #[case] named: &str,
+) {
+    let nobody = "127.0.0.1:9".parse().unwrap();
+    let mut faulty = config(&[host("s0", nobody, "up", 1)], nobody, nobody);
+    *faulty.pointer_mut(at).unwrap() = value;
+    ends_with(&faulty.to_string(), named);
+}
+
+fn ends_with(config: &str, named: &str) {
+    let (mut child, log) = spawn(config, &[]);
+    assert_eq!(child.wait().unwrap().code(), Some(1));
+    until("it says why", || !log.lock().unwrap().is_empty());
+    let lines = log.lock().unwrap().clone();
+    assert!(lines.len() == 1 && lines[0].contains(named), "{lines:?}");
+}
+
+#[test]
+fn a_file_that_is_no_json_ends_the_start_and_unknown_keys_do_not() {
+    ends_with("{\"name\": ", "BALANCER_CONFIG");
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start_with(&[&server], |config| {
+        config["colour"] = json!("green");
+        config["settings"]["domain"]["mood"] = json!([1]);
+    });
+    assert_eq!(outcome(&gateway.client().ask(&select("a1", "look", 900))), Ok("a1".to_string()));
+}
+
+#[test]
+fn a_half_closed_client_is_gone() {
+    let server = Server::start(Does::Silent);
+    let gateway = Gateway::start(&[&server]);
+    let mut client = gateway.client();
+    client.send(&query(&select("a1", "look", 60_000)));
+    client.0.shutdown(Shutdown::Write).unwrap();
+    until("it is gone", || gateway.counter("clients_gone") == 1);
+}
--- a/crates/wire/src/terms.rs
+++ b/crates/wire/src/terms.rs
@@ -264,6 +264,15 @@
         }
     }
 
+    /// On sockets nothing of the list comes unasked, whatever the site does elsewhere.
+    pub fn asking(mut self) -> Self {
+        if self.registry_mode == RegistryMode::Automatic {
+            self.registry_mode = RegistryMode::Subscribe;
+            self.rules.ask_within = if self.rules.ask_within > 0.0 { self.rules.ask_within } else { 10.0 };
+        }
+        self
+    }
+
     /// Starts the decisions of one instance.
     pub fn start(self, seed: u64) -> Choice {
         let ms = |seconds: f64| seconds * MS_PER_S;
