--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -218,18 +218,20 @@
     Nothing,
 }
 
+type Reply = Box<dyn Fn(&str) -> Says + Send>;
+
 /// A service over HTTP: calls are noted, answers are as set, and open streams can be written to.
 #[derive(Clone)]
 pub struct Service {
     pub addr: SocketAddr,
     pub calls: Arc<Mutex<Vec<(String, String)>>>,
-    pub says: Arc<Mutex<Box<dyn Fn(&str) -> Says + Send>>>,
+    pub says: Arc<Mutex<Reply>>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Service {
     pub fn start(says: impl Fn(&str) -> Says + Send + 'static) -> Self {
-        let says: Arc<Mutex<Box<dyn Fn(&str) -> Says + Send>>> = Arc::new(Mutex::new(Box::new(says)));
+        let says: Arc<Mutex<Reply>> = Arc::new(Mutex::new(Box::new(says)));
         let (calls, streams) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
         let (said, noted, kept) = (says.clone(), calls.clone(), streams.clone());
         let addr = listen(move |mut stream, _| {
