Crossing states, handed-back and taken-over waits, a stand-still and an unread log each have a story

The log's guard waits and prints to standard output when nobody reads the log: seen in the story of the unread log as a line of its own. It is now dropped on a thread that the exit waits for 0.3 s at most (main.rs).

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -24,12 +24,14 @@
 const BACKLOG: u32 = 1024;
 /// Log lines held for a reader that is behind; further ones are dropped rather than waited for.
 const LOG_LINES: usize = 2048;
+/// The last log lines get so long to be taken.
+const FLUSH: Duration = Duration::from_millis(300);
 /// How often the last connections are looked at while stopping.
 const LOOK: Duration = Duration::from_millis(5);
 
 fn main() -> ExitCode {
     let log = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(LOG_LINES);
-    let (log, _guard) = log.finish(io::stderr());
+    let (log, guard) = log.finish(io::stderr());
     let level = match std::env::var("LATCHHAVEN_LOG").as_deref() {
         Ok("debug") => tracing::Level::DEBUG,
         Ok("warn") => tracing::Level::WARN,
@@ -43,6 +45,13 @@
         .init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let served = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, serve()));
+    // Behind a full pipe the guard would wait, and complain where nobody reads either.
+    let (done, flushed) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        drop(guard);
+        let _ = done.send(());
+    });
+    let _ = flushed.recv_timeout(FLUSH);
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- a/crates/gateway/src/net/clients.rs
+++ b/crates/gateway/src/net/clients.rs
@@ -1,6 +1,8 @@
 //! Clients: accepts them, reads their queries one after another, writes each one's answer.
 
-use super::{ACCEPT_AGAIN, Answer, CLIENT_STALL, HELD, Note, read_some, unread, write_all};
+use super::{
+    ACCEPT_AGAIN, Answer, CLIENT_STALL, HELD, Note, TURNED_AWAY_AT_ONCE, read_some, unread, write_all,
+};
 use crate::counters::COUNTERS;
 use crate::gateway::Clock;
 use crate::must;
@@ -44,6 +46,11 @@
     /// Accepts until dropped.
     pub async fn accept(self: Rc<Self>, listener: &TcpListener) {
         loop {
+            if self.open() >= self.most + TURNED_AWAY_AT_ONCE {
+                self.make_room();
+                sleep(ACCEPT_AGAIN).await;
+                continue;
+            }
             match listener.accept().await {
                 Ok((stream, _)) => self.clone().seat(stream),
                 Err(fault) => {
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -44,6 +44,8 @@
 /// A lost feed is opened again after this, doubling up to the most, each time less a random half.
 pub const FEED_AGAIN: Duration = Duration::from_millis(100);
 pub const FEED_AGAIN_MOST: Duration = Duration::from_millis(1600);
+/// So many clients over their share are told that there are too many; while there are more, none is accepted.
+pub const TURNED_AWAY_AT_ONCE: usize = 16;
 /// When no connection can be accepted for want of descriptors, the next try is after this.
 pub const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 /// A connection for votes that idled longer is not used again: the platform closes some before 10 s.
@@ -88,8 +90,8 @@
     if whole { ListKind::Whole } else { ListKind::Changes }
 }
 
-/// True where the peer has ended an idle connection, as far as this machine has been told.
-pub fn ended(stream: &TcpStream) -> bool {
+/// True where nothing may be written on an idle connection: its peer has ended it, or said what nobody asked.
+pub fn unfit(stream: &TcpStream) -> bool {
     let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
     !matches!(peeked, Err(fault) if fault.kind() == io::ErrorKind::WouldBlock)
 }
--- a/crates/gateway/src/net/platform.rs
+++ b/crates/gateway/src/net/platform.rs
@@ -1,6 +1,6 @@
 //! The platform: its feed on a connection of its own, and votes, one after another, on another one.
 
-use super::{DIAL, FEED_AGAIN, FEED_AGAIN_MOST, FEED_SILENCE, Note, VOTES_IDLE, ended, read_some, write_all};
+use super::{DIAL, FEED_AGAIN, FEED_AGAIN_MOST, FEED_SILENCE, Note, VOTES_IDLE, read_some, unfit, write_all};
 use crate::counters::COUNTERS;
 use crate::proto::http::{self, Body, Part, Reader};
 use bytes::BytesMut;
@@ -234,7 +234,7 @@
     let text = |fault: std::io::Error| fault.to_string();
     let mut buf = BytesMut::new();
     // The platform closes what idles, and what is written to such a connection may have been carried out.
-    let alive = |(stream, since): &(TcpStream, Instant)| since.elapsed() < VOTES_IDLE && !ended(stream);
+    let alive = |(stream, since): &(TcpStream, Instant)| since.elapsed() < VOTES_IDLE && !unfit(stream);
     let stream = match open.take().filter(alive) {
         Some((stream, _)) => stream,
         None => {
--- a/crates/gateway/src/net/servers.rs
+++ b/crates/gateway/src/net/servers.rs
@@ -1,6 +1,6 @@
 //! Connections to servers: one task each, one txn at a time on each, and the pool that the gateway holds.
 
-use super::{IDLE_SHARE, Note, SETTLE, ended, read_some, write_all};
+use super::{IDLE_SHARE, Note, SETTLE, read_some, unfit, write_all};
 use crate::counters::COUNTERS;
 use crate::must;
 use crate::proto::pg::{self, Backend, Statement, Told};
@@ -154,7 +154,7 @@
         while let Some(link) = spot.idle.pop() {
             if !link.over.get()
                 && link.idle_from.get().elapsed() < fresh
-                && !link.stream.get().is_none_or(ended)
+                && !link.stream.get().is_none_or(unfit)
             {
                 self.carry(link, job, now);
                 return true;
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -95,7 +95,7 @@
     Endless,
     /// Serves, with notices and parameters between.
     Chats,
-    /// Accepts a connection and says nothing.
+    /// Accepts connections and says nothing; those that are up already are served.
     NeverUp,
     /// Serves and ends the connection just after.
     ServesOnce,
@@ -144,14 +144,14 @@
             seen.lock().unwrap().queries.push((number, text.clone()));
             let does = *does.lock().unwrap();
             let answer = match does {
-                Does::Serves | Does::ServesOnce => good,
+                Does::Serves | Does::ServesOnce | Does::NeverUp => good,
                 Does::ServesAfter(ms) => {
                     thread::sleep(Duration::from_millis(ms));
                     good
                 }
                 Does::Fails(code) => [&error(code), READY].concat(),
                 Does::EndsWith(code) => error(code),
-                Does::Silent | Does::NeverUp => continue,
+                Does::Silent => continue,
                 Does::Resets => Vec::new(),
                 Does::CutsShort => good[..good.len() / 2].to_vec(),
                 Does::Babbles => b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec(),
@@ -319,6 +319,8 @@
 /// The gateway's program, and what it speaks with.
 pub struct Gateway {
     child: Child,
+    /// While held, nothing that it logs is read.
+    pub unread: Arc<AtomicBool>,
     pub addr: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
     pub list: Service,
@@ -328,18 +330,26 @@
 static STARTED: AtomicU32 = AtomicU32::new(0);
 
 /// Starts the program with a configuration; what it logs can be read as it comes.
-pub fn spawn(config: &str, variables: &[(&str, &str)]) -> (Child, Arc<Mutex<Vec<String>>>) {
+pub fn spawn(config: &str) -> (Child, Arc<Mutex<Vec<String>>>, Arc<AtomicBool>) {
     let number = STARTED.fetch_add(1, SeqCst);
     let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&path, config).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_latchhaven"));
-    command.env_clear().env("BALANCER_CONFIG", &path).envs(variables.iter().copied());
+    // Both streams go to one pipe, as where they are one log.
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", "exec \"$0\" 1>&2", env!("CARGO_BIN_EXE_latchhaven")]);
+    command.env_clear().env("BALANCER_CONFIG", &path);
     let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
     let (log, lines) =
         (Arc::new(Mutex::new(Vec::new())), BufReader::new(child.stderr.take().unwrap()).lines());
-    let filled = log.clone();
-    thread::spawn(move || lines.map_while(Result::ok).for_each(|line| filled.lock().unwrap().push(line)));
-    (child, log)
+    let (filled, unread) = (log.clone(), Arc::new(AtomicBool::new(false)));
+    let held = unread.clone();
+    thread::spawn(move || {
+        for line in lines.map_while(Result::ok) {
+            filled.lock().unwrap().push(line);
+            until("the log is read again", || !held.load(SeqCst));
+        }
+    });
+    (child, log, unread)
 }
 
 impl Gateway {
@@ -358,7 +368,7 @@
             hosts.map(|(n, server)| host(&format!("s{n}"), server.addr, "up", 1)).collect();
         let mut config = config(&hosts, list.addr, platform.addr);
         change(&mut config);
-        let (child, log) = spawn(&config.to_string(), &[]);
+        let (child, log, unread) = spawn(&config.to_string());
         let mut addr = None;
         until("the gateway listens", || {
             let log = log.lock().unwrap();
@@ -368,7 +378,7 @@
             addr = found;
             found.is_some()
         });
-        Gateway { child, addr: addr.unwrap(), log, list, platform }
+        Gateway { child, unread, addr: addr.unwrap(), log, list, platform }
     }
 
     pub fn client(&self) -> Client {
--- a/crates/gateway/tests/stories.rs
+++ b/crates/gateway/tests/stories.rs
@@ -7,6 +7,7 @@
 use standins::*;
 use std::io::{Read, Write};
 use std::net::Shutdown;
+use std::sync::atomic::Ordering::SeqCst;
 use std::thread;
 use std::time::Duration;
 
@@ -426,12 +427,94 @@
 #[test]
 fn a_log_that_nobody_reads_stalls_nothing() {
     let server = Server::start(Does::Serves);
-    let gateway = Gateway::start(&[&server]);
-    // Many lines for a reader that keeps up only slowly: none is waited for.
-    for _ in 0..50 {
-        gateway.signal("USR1");
+    let mut gateway = Gateway::start(&[&server]);
+    until("the feed is open", || gateway.platform.count("GET /v1/feed") == 1);
+    gateway.unread.store(true, SeqCst);
+    // More lines than the pipe and the program hold.
+    gateway.platform.write(&chunk(&"{nonsense\n".repeat(8000)));
+    let mut client = gateway.client();
+    for n in 0..20 {
+        assert_eq!(outcome(&client.ask(&select(&format!("a{n}"), "look", 900))), Ok(format!("a{n}")));
     }
-    assert_eq!(outcome(&gateway.client().ask(&select("a1", "look", 900))), Ok("a1".to_string()));
+    gateway.signal("TERM");
+    assert_eq!(gateway.ended(), Some(0));
+    gateway.unread.store(false, SeqCst);
+}
+
+#[test]
+fn of_two_states_that_cross_the_later_one_stands() {
+    let (earlier, trial) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    // The feed tells of stage 1; the answer to a vote comes after it and was written before it.
+    let mut old = state(2, 0, "IN_PROGRESS", 0.5);
+    old["observedAgoMs"] = json!(60_000);
+    let platform = feed(state(2, 1, "IN_PROGRESS", 1.0), move |_| Says::Bytes(answer(200, &old.to_string())));
+    let gateway = Gateway::start_among(&[&earlier, &trial], platform, |config| {
+        config["known"]["hosts"][1]["release"] = json!(2);
+        config["pipeline"]["news"] = state(2, 1, "IN_PROGRESS", 1.0);
+        config["settings"]["domain"]["vote-ttl-s"] = json!(1.0);
+    });
+    let mut client = gateway.client();
+    let mut n = 0;
+    until("it is voted on twice", || {
+        n += 1;
+        client.ask(&select(&format!("a{n}"), "look", 900));
+        gateway.counter("votes_counted") >= 2
+    });
+    let calls = gateway.platform.calls.lock().unwrap().clone();
+    let votes = calls.iter().filter(|(line, _)| line.contains("ballots"));
+    assert!(votes.map(|(_, body)| body).all(|body| body.contains("\"step\":1")), "{calls:?}");
+}
+
+/// Connections are waited for much longer than txns.
+fn patient(config: &mut Value) {
+    config["settings"]["permissions"]["dial-timeout-s"] = json!(10.0);
+}
+
+#[test]
+fn what_waits_for_a_connection_is_decided_anew_when_the_list_changes() {
+    let (stuck, good) = (Server::start(Does::NeverUp), Server::start(Does::Serves));
+    let gateway = Gateway::start_with(&[&stuck], patient);
+    until("the list is watched", || gateway.list.count("watch") == 1);
+    let mut client = gateway.client();
+    client.send(&query(&insert("a1", "pay", 1900)));
+    until("a connection is waited for", || stuck.seen.lock().unwrap().connections == 1);
+    gateway.list.write(&chunk(&(list(9, true, &[host("s0", good.addr, "up", 1)]).to_string() + "\n")));
+    assert_eq!(outcome(&client.answer()), Ok("a1".to_string()));
+    assert_eq!(gateway.counter("sub_not_sent"), 1);
+}
+
+#[test]
+fn what_waits_for_a_connection_takes_one_that_is_ready_again() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::start_with(&[&server], patient);
+    let (mut one, mut two) = (gateway.client(), gateway.client());
+    assert_eq!(outcome(&one.ask(&select("a1", "look", 900))), Ok("a1".to_string()));
+    server.set(Does::ServesAfter(150));
+    one.send(&query(&insert("a2", "pay", 1900)));
+    until("it is asked", || server.queries().len() == 2);
+    server.set(Does::NeverUp);
+    two.send(&query(&insert("a3", "pay", 1900)));
+    assert_eq!(outcome(&one.answer()), Ok("a2".to_string()));
+    assert_eq!(outcome(&two.answer()), Ok("a3".to_string()));
+}
+
+#[test]
+fn after_standing_still_all_that_came_is_heard_before_anything_is_sent() {
+    let (old, new) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    let gateway = Gateway::start(&[&old]);
+    until("the list is watched", || gateway.list.count("watch") == 1);
+    let mut clients: Vec<Client> = (0..80).map(|_| gateway.client()).collect();
+    gateway.signal("STOP");
+    clients
+        .iter_mut()
+        .enumerate()
+        .for_each(|(n, client)| client.send(&query(&select(&format!("a{n}"), "look", 1900))));
+    let changes = [host("s0", old.addr, "draining", 1), host("s1", new.addr, "up", 1)];
+    gateway.list.write(&chunk(&(list(6, false, &changes).to_string() + "\n")));
+    thread::sleep(Duration::from_millis(200));
+    gateway.signal("CONT");
+    clients.iter_mut().for_each(|client| assert_eq!(client.answer().last().unwrap().0, b'Z'));
+    assert!(old.queries().is_empty() && !new.queries().is_empty());
 }
 
 #[rstest]
@@ -456,7 +539,7 @@
 }
 
 fn ends_with(config: &str, named: &str) {
-    let (mut child, log) = spawn(config, &[]);
+    let (mut child, log, _) = spawn(config);
     assert_eq!(child.wait().unwrap().code(), Some(1));
     until("it says why", || !log.lock().unwrap().is_empty());
     let lines = log.lock().unwrap().clone();
