--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -122,14 +122,15 @@
         let mut batch = Vec::new();
         loop {
             let due = self.timers.peek().map(|Reverse((at, _))| self.clock.instant(*at as f64 / 1000.0));
+            // Tasks run in the order in which they were woken: all that this wake-up brought is there by now.
             if self.next.is_empty() {
                 select! {
                     _ = notes.recv_many(&mut batch, NOTES_HELD) => {}
                     () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
                 }
+            } else {
+                tokio::task::yield_now().await;
             }
-            // The others that this wake-up woke have their turn first: what they read is one batch.
-            tokio::task::yield_now().await;
             while let Ok(note) = notes.try_recv() {
                 batch.push(note);
             }
--- a/crates/gateway/src/net/servers.rs
+++ b/crates/gateway/src/net/servers.rs
@@ -268,11 +268,6 @@
         let idle = self.spots.get_mut(instance).map(|spot| std::mem::take(&mut spot.idle));
         idle.into_iter().flatten().for_each(|link| link.close());
     }
-
-    #[cfg(test)]
-    pub fn open(&self) -> usize {
-        self.open
-    }
 }
 
 /// Opens a connection and waits for the server to be ready for a query.
--- a/crates/gateway/tests/parsers.rs
+++ b/crates/gateway/tests/parsers.rs
@@ -120,6 +120,7 @@
 #[rstest]
 #[case::a_password(&message(b'R', &[0, 0, 0, 3]))]
 #[case::two_columns(&message(b'T', b"\0\x02"))]
+#[case::two_descriptions(&[message(b'T', b"\0\x01"), message(b'T', b"\0\x01")].concat())]
 #[case::a_row_before_its_description(&message(b'D', b"\0\x01\0\0\0\0"))]
 #[case::two_rows(&[message(b'T', b"\0\x01"), message(b'D', b"\0\x01\0\0\0\0"), message(b'D', b"\0\x01\0\0\0\0")].concat())]
 #[case::a_row_cut_short(&[message(b'T', b"\0\x01"), message(b'D', b"\0\x01\0\0\0\x05ab")].concat())]
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -106,8 +106,9 @@
     /// Connection and text of each query, in order.
     pub queries: Vec<(usize, String)>,
     pub connections: usize,
-    /// Connections that the gateway has ended.
+    /// Connections that have ended.
     pub ended: Vec<usize>,
+    open: Vec<TcpStream>,
 }
 
 #[derive(Clone)]
@@ -122,7 +123,10 @@
         let (does, seen) = (Arc::new(Mutex::new(does)), Arc::new(Mutex::new(Seen::default())));
         let (doing, saw) = (does.clone(), seen.clone());
         let addr = listen(move |mut stream, number| {
-            saw.lock().unwrap().connections += 1;
+            let mut seen = saw.lock().unwrap();
+            seen.connections += 1;
+            seen.open.push(stream.try_clone().unwrap());
+            drop(seen);
             Self::serve(&mut stream, number, &doing, &saw);
             saw.lock().unwrap().ended.push(number);
         });
@@ -176,6 +180,11 @@
         *self.does.lock().unwrap() = does;
     }
 
+    /// Ends all connections from this side.
+    pub fn end_all(&self) {
+        self.seen.lock().unwrap().open.drain(..).for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+    }
+
     pub fn queries(&self) -> Vec<(usize, String)> {
         self.seen.lock().unwrap().queries.clone()
     }
@@ -346,7 +355,9 @@
     thread::spawn(move || {
         for line in lines.map_while(Result::ok) {
             filled.lock().unwrap().push(line);
-            until("the log is read again", || !held.load(SeqCst));
+            while held.load(SeqCst) {
+                thread::sleep(Duration::from_millis(2));
+            }
         }
     });
     (child, log, unread)
--- a/crates/gateway/tests/stories.rs
+++ b/crates/gateway/tests/stories.rs
@@ -2,6 +2,10 @@
 
 mod standins;
 
+use latchhaven::api::{Connections, Ending, Reports};
+use latchhaven_gateway::net::Note;
+use latchhaven_gateway::net::list::read as read_list;
+use latchhaven_gateway::net::servers::{Errand, Pool, Stopped};
 use rstest::rstest;
 use serde_json::{Value, json};
 use standins::*;
@@ -10,6 +14,8 @@
 use std::sync::atomic::Ordering::SeqCst;
 use std::thread;
 use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
 
 fn insert(id: &str, product: &str, wait: u32) -> String {
     format!(
@@ -138,6 +144,61 @@
     assert_eq!(gateway.counter("sub_lost"), 0);
 }
 
+/// A pool alone, with one connection to a server that idles; tasks go on only where a story waits.
+async fn idling(server: &Server) -> (Pool, mpsc::Receiver<Note>) {
+    let (notes, mut noted) = mpsc::channel(16);
+    let reports = Reports::Silent;
+    let connections = Connections { idle: 9000.0, dial_within: 5000.0, vote_within: 500.0, reports };
+    let mut pool = Pool::new(4, connections, notes);
+    let hosts = list(1, true, &[host("s0", server.addr, "up", 1)]).to_string();
+    let (listing, addr) = read_list(hosts.as_bytes()).unwrap().entries.remove(0);
+    pool.relist(&listing, addr);
+    let first = Errand::Submission { id: 1, n: 0 };
+    assert!(pool.send("s0", first, None, 1000.0, 0.0));
+    assert_eq!(pool.stop("s0", first), Stopped::Unwritten);
+    let Some(Note::Free { link, first }) = noted.recv().await else { panic!("it never came up") };
+    pool.free(link, first, 0.0);
+    (pool, noted)
+}
+
+fn alone(story: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, story);
+}
+
+#[test]
+fn a_connection_that_ended_unseen_is_not_used() {
+    alone(async {
+        let server = Server::start(Does::Serves);
+        let (mut pool, mut noted) = idling(&server).await;
+        server.end_all();
+        until("the end has come", || server.seen.lock().unwrap().ended.len() == 1);
+        assert!(pool.send("s0", Errand::Submission { id: 2, n: 0 }, None, 1000.0, 0.0));
+        loop {
+            match noted.recv().await.unwrap() {
+                Note::Free { link, first } => pool.free(link, first, 0.0),
+                Note::Over { link } => pool.over(&link),
+                Note::Ended { ending, .. } => return assert_eq!(ending, Ending::Settled),
+                _ => panic!("the txn should not notice"),
+            }
+        }
+    });
+}
+
+#[test]
+fn what_is_stopped_before_its_last_byte_is_told_so_and_never_comes() {
+    alone(async {
+        let server = Server::start(Does::Serves);
+        let (mut pool, mut noted) = idling(&server).await;
+        let errand = Errand::Submission { id: 2, n: 0 };
+        assert!(pool.send("s0", errand, None, 1000.0, 0.0));
+        assert_eq!(pool.stop("s0", errand), Stopped::Unwritten);
+        assert!(matches!(noted.recv().await, Some(Note::Over { .. })));
+        until("it is closed", || server.seen.lock().unwrap().ended == [0]);
+        assert!(server.queries().is_empty());
+    });
+}
+
 #[test]
 fn idle_connections_are_closed_before_the_server_does() {
     let server = Server::start(Does::Serves);
@@ -417,7 +478,8 @@
     let server = Server::start(Does::Serves);
     let mut first = Gateway::start(&[&server]);
     let addr = first.addr;
-    first.client().ask(&select("a1", "look", 900));
+    let mut client = first.client();
+    client.ask(&select("a1", "look", 900));
     first.signal("KILL");
     first.ended();
     let second = Gateway::start_with(&[&server], |config| config["listen"] = json!(addr.to_string()));
