--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -136,14 +136,13 @@
             }
             // What the list and the platform told comes before all that is decided after it.
             batch.sort_by_key(|note| !matches!(note, Note::List(_) | Note::Stage(_) | Note::Tally(_)));
-            let (mut news, mut events) = (Vec::new(), std::mem::take(&mut self.next));
+            let mut events = std::mem::take(&mut self.next);
             for note in batch.drain(..) {
-                self.hear(note, &mut news, &mut events);
+                self.hear(note, &mut events);
             }
             self.come_due(&mut events);
-            news.append(&mut events);
-            if !news.is_empty() {
-                self.decide(news);
+            if !events.is_empty() {
+                self.decide(events);
             }
         }
     }
@@ -156,7 +155,7 @@
         }
     }
 
-    fn hear(&mut self, note: Note, news: &mut Vec<Event>, events: &mut Vec<Event>) {
+    fn hear(&mut self, note: Note, events: &mut Vec<Event>) {
         let now = self.clock.now();
         match note {
             Note::Txn { id, statement, came, reply } => {
@@ -198,19 +197,19 @@
             Note::List(Some(list)) => {
                 COUNTERS.list_changes.add();
                 let event = self.listed(list_kind(list.whole), list);
-                news.push(event);
+                events.push(event);
             }
             Note::List(None) => {
                 let (kind, version) = (ListKind::Failed, self.version);
-                news.push(Event::Fleet { kind, version, entries: Vec::new() });
+                events.push(Event::Fleet { kind, version, entries: Vec::new() });
             }
             Note::Stage(stage) => {
                 let stage = self.staged(stage);
-                news.push(Event::Stage(stage));
+                events.push(Event::Stage(stage));
             }
             Note::Tally(tally) => {
                 COUNTERS.tallies_told.add();
-                news.push(Event::Tally {
+                events.push(Event::Tally {
                     build: tally.build,
                     product: tally.product,
                     count: tally.count,
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -95,7 +95,7 @@
     Endless,
     /// Serves, with notices and parameters between.
     Chats,
-    /// Accepts connections and says nothing; those that are up already are served.
+    /// Accepts connections and says nothing until it is to do something else; those that are up are served.
     NeverUp,
     /// Serves and ends the connection just after.
     ServesOnce,
@@ -135,10 +135,13 @@
 
     fn serve(stream: &mut TcpStream, number: usize, does: &Mutex<Does>, seen: &Mutex<Seen>) -> Option<()> {
         read_startup(stream)?;
-        if *does.lock().unwrap() == Does::NeverUp {
-            while read_message(stream).is_some() {}
-            return None;
+        stream.set_read_timeout(Some(Duration::from_millis(2))).ok()?;
+        while *does.lock().unwrap() == Does::NeverUp {
+            if stream.peek(&mut [0]).is_ok() {
+                return None;
+            }
         }
+        stream.set_read_timeout(None).ok()?;
         stream.write_all(&[OK, READY].concat()).ok()?;
         while let Some((kind, body)) = read_message(stream) {
             assert_eq!(kind, b'Q');
--- a/crates/gateway/tests/stories.rs
+++ b/crates/gateway/tests/stories.rs
@@ -2,7 +2,7 @@
 
 mod standins;
 
-use latchhaven::api::{Connections, Ending, Reports};
+use latchhaven::api::{Connections, Ending, Listing, Reports};
 use latchhaven_gateway::net::Note;
 use latchhaven_gateway::net::list::read as read_list;
 use latchhaven_gateway::net::servers::{Errand, Pool, Stopped};
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use standins::*;
 use std::io::{Read, Write};
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::atomic::Ordering::SeqCst;
 use std::thread;
 use std::time::Duration;
@@ -56,7 +56,7 @@
 fn a_refused_connection_never_ran() {
     let server = Server::start(Does::Serves);
     let mut gone = server.clone();
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap();
     gone.addr = closed.local_addr().unwrap();
     drop(closed);
     let gateway = Gateway::start(&[&gone]);
@@ -144,18 +144,28 @@
     assert_eq!(gateway.counter("sub_lost"), 0);
 }
 
-/// A pool alone, with one connection to a server that idles; tasks go on only where a story waits.
-async fn idling(server: &Server) -> (Pool, mpsc::Receiver<Note>) {
-    let (notes, mut noted) = mpsc::channel(16);
+/// An instance that is up at this address.
+fn up(addr: SocketAddr) -> (Listing, SocketAddr) {
+    read_list(list(1, true, &[host("s0", addr, "up", 1)]).to_string().as_bytes()).unwrap().entries.remove(0)
+}
+
+fn pool() -> (Pool, mpsc::Receiver<Note>) {
+    let (notes, noted) = mpsc::channel(16);
     let reports = Reports::Silent;
     let connections = Connections { idle: 9000.0, dial_within: 5000.0, vote_within: 500.0, reports };
-    let mut pool = Pool::new(4, connections, notes);
-    let hosts = list(1, true, &[host("s0", server.addr, "up", 1)]).to_string();
-    let (listing, addr) = read_list(hosts.as_bytes()).unwrap().entries.remove(0);
+    (Pool::new(4, connections, notes), noted)
+}
+
+const FIRST: Errand = Errand::Submission { id: 1, n: 0 };
+const SECOND: Errand = Errand::Submission { id: 2, n: 0 };
+
+/// A pool alone, with one connection to a server that idles; tasks go on only where a story waits.
+async fn idling(server: &Server) -> (Pool, mpsc::Receiver<Note>) {
+    let (mut pool, mut noted) = pool();
+    let (listing, addr) = up(server.addr);
     pool.relist(&listing, addr);
-    let first = Errand::Submission { id: 1, n: 0 };
-    assert!(pool.send("s0", first, None, 1000.0, 0.0));
-    assert_eq!(pool.stop("s0", first), Stopped::Unwritten);
+    assert!(pool.send("s0", FIRST, None, 1000.0, 0.0));
+    assert_eq!(pool.stop("s0", FIRST), Stopped::Unwritten);
     let Some(Note::Free { link, first }) = noted.recv().await else { panic!("it never came up") };
     pool.free(link, first, 0.0);
     (pool, noted)
@@ -173,7 +183,7 @@
         let (mut pool, mut noted) = idling(&server).await;
         server.end_all();
         until("the end has come", || server.seen.lock().unwrap().ended.len() == 1);
-        assert!(pool.send("s0", Errand::Submission { id: 2, n: 0 }, None, 1000.0, 0.0));
+        assert!(pool.send("s0", SECOND, None, 1000.0, 0.0));
         loop {
             match noted.recv().await.unwrap() {
                 Note::Free { link, first } => pool.free(link, first, 0.0),
@@ -190,15 +200,31 @@
     alone(async {
         let server = Server::start(Does::Serves);
         let (mut pool, mut noted) = idling(&server).await;
-        let errand = Errand::Submission { id: 2, n: 0 };
-        assert!(pool.send("s0", errand, None, 1000.0, 0.0));
-        assert_eq!(pool.stop("s0", errand), Stopped::Unwritten);
+        assert!(pool.send("s0", SECOND, None, 1000.0, 0.0));
+        assert_eq!(pool.stop("s0", SECOND), Stopped::Unwritten);
         assert!(matches!(noted.recv().await, Some(Note::Over { .. })));
         until("it is closed", || server.seen.lock().unwrap().ended == [0]);
         assert!(server.queries().is_empty());
     });
 }
 
+#[test]
+fn connections_still_opened_to_what_was_there_before_are_not_waited_for() {
+    alone(async {
+        let (stuck, closed) = (Server::start(Does::NeverUp), TcpListener::bind("127.0.0.1:0").unwrap());
+        let (mut pool, mut noted) = pool();
+        let (listing, old) = up(stuck.addr);
+        let new = closed.local_addr().unwrap();
+        drop(closed);
+        pool.relist(&listing, old);
+        assert!(pool.send("s0", FIRST, None, 1000.0, 0.0));
+        assert_eq!(pool.relist(&listing, new), [FIRST]);
+        assert!(pool.send("s0", SECOND, None, 1000.0, 0.0));
+        let Some(Note::NotUp { link }) = noted.recv().await else { panic!("it is refused") };
+        assert_eq!(pool.not_up(&link), Some(SECOND));
+    });
+}
+
 #[test]
 fn idle_connections_are_closed_before_the_server_does() {
     let server = Server::start(Does::Serves);
@@ -545,6 +571,37 @@
     assert_eq!(gateway.counter("sub_not_sent"), 1);
 }
 
+#[test]
+fn what_waits_for_a_connection_is_decided_anew_when_the_platform_tells_of_a_change() {
+    let stuck = Server::start(Does::NeverUp);
+    let gateway = Gateway::start_with(&[&stuck], patient);
+    let mut client = gateway.client();
+    client.send(&query(&insert("a1", "pay", 1900)));
+    until("a connection is waited for", || stuck.seen.lock().unwrap().connections == 1);
+    let told = json!({"type": "ROLLOUT", "object": state(2, 0, "IN_PROGRESS", 0.1)});
+    gateway.platform.write(&chunk(&format!("{told}\n")));
+    until("it is sent anew", || stuck.seen.lock().unwrap().connections == 2);
+    stuck.set(Does::Serves);
+    assert_eq!(outcome(&client.answer()), Ok("a1".to_string()));
+}
+
+#[test]
+fn a_connection_that_comes_up_with_news_of_its_server_carries_nothing() {
+    let (stuck, good) = (Server::start(Does::NeverUp), Server::start(Does::Serves));
+    let gateway = Gateway::start_with(&[&stuck], patient);
+    until("the list is watched", || gateway.list.count("watch") == 1);
+    let mut client = gateway.client();
+    client.send(&query(&insert("a1", "pay", 1900)));
+    until("a connection is waited for", || stuck.seen.lock().unwrap().connections == 1);
+    gateway.signal("STOP");
+    stuck.set(Does::Serves);
+    thread::sleep(Duration::from_millis(100));
+    gateway.list.write(&chunk(&(list(9, true, &[host("s0", good.addr, "up", 1)]).to_string() + "\n")));
+    gateway.signal("CONT");
+    assert_eq!(outcome(&client.answer()), Ok("a1".to_string()));
+    assert_eq!((stuck.queries().len(), good.queries().len()), (0, 1));
+}
+
 #[test]
 fn what_waits_for_a_connection_takes_one_that_is_ready_again() {
     let server = Server::start(Does::Serves);
