--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,6 +3,7 @@
 use crate::net::list::{self, List};
 use crate::net::platform;
 use latchhaven::api::StageNews;
+use latchhaven_wire::WireFault;
 use latchhaven_wire::terms::{self, Terms};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -87,8 +88,10 @@
     };
     let seed = seed.ok_or_else(|| fault("seed", "no hexadecimal number of up to 16 digits"))?;
     let settings = whole.get("settings").ok_or_else(|| fault("settings", "missing"))?;
-    let terms =
-        terms::read(&settings.to_string()).map_err(|why| Fault::Key("settings".into(), why.to_string()))?;
+    let terms = terms::read(&settings.to_string()).map_err(|why| match why {
+        WireFault::Settings(why) => fault("settings", &why),
+        why => fault("settings", &why.to_string()),
+    })?;
     Ok((addresses, sockets as usize, known, seed, terms))
 }
 
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -275,6 +275,11 @@
         self.streams.lock().unwrap().retain_mut(|stream| stream.write_all(text.as_bytes()).is_ok());
     }
 
+    /// Writes one line to all open streams.
+    pub fn tell(&self, line: &Value) {
+        self.write(&chunk(&format!("{line}\n")));
+    }
+
     pub fn end_streams(&self) {
         self.streams.lock().unwrap().drain(..).for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
     }
@@ -395,6 +400,13 @@
         Gateway { child, unread, addr: addr.unwrap(), log, list, platform }
     }
 
+    /// As [`Self::start_with`], once the list is watched.
+    pub fn watching(servers: &[&Server], change: impl FnOnce(&mut Value)) -> Self {
+        let gateway = Self::start_with(servers, change);
+        until("the list is watched", || gateway.list.count("GET /v1/servers?watch=1&after=5 ") == 1);
+        gateway
+    }
+
     pub fn client(&self) -> Client {
         let mut client = Client::connect(self.addr);
         client.send(&startup());
--- a/crates/gateway/tests/stories.rs
+++ b/crates/gateway/tests/stories.rs
@@ -383,8 +383,7 @@
 #[test]
 fn the_list_is_watched_from_the_version_held_and_its_changes_count_at_once() {
     let (old, new) = (Server::start(Does::Serves), Server::start(Does::Serves));
-    let gateway = Gateway::start(&[&old]);
-    until("the list is watched", || gateway.list.count("GET /v1/servers?watch=1&after=5 ") == 1);
+    let gateway = Gateway::watching(&[&old], |_| ());
     let changes = [host("s0", old.addr, "draining", 1), host("s1", new.addr, "up", 1)];
     let line = list(6, false, &changes).to_string() + "\n";
     // Cut anywhere, also within a chunk.
@@ -406,8 +405,7 @@
     let mut client = gateway.client();
     client.ask(&select("a1", "look", 900));
     until("the list is watched", || gateway.list.count("watch") == 1);
-    let line = list(9, true, &[host("s0", new.addr, "up", 1)]).to_string() + "\n";
-    gateway.list.write(&chunk(&line));
+    gateway.list.tell(&list(9, true, &[host("s0", new.addr, "up", 1)]));
     until("the old connection is dropped", || old.seen.lock().unwrap().ended == [0]);
     assert_eq!(outcome(&client.ask(&select("a2", "look", 1900))), Ok("a2".to_string()));
     assert_eq!((old.queries().len(), new.queries().len()), (1, 1));
@@ -422,8 +420,7 @@
 #[case::silent(Says::Nothing)]
 fn a_call_for_the_list_that_fails_is_told_and_made_again_while_txns_are_served(#[case] says: Says) {
     let server = Server::start(Does::Serves);
-    let gateway = Gateway::start(&[&server]);
-    until("the list is watched", || gateway.list.count("watch") == 1);
+    let gateway = Gateway::watching(&[&server], |_| ());
     gateway.list.set(move |_| says.clone());
     gateway.list.end_streams();
     until("it is asked again and again", || {
@@ -561,12 +558,11 @@
 #[test]
 fn what_waits_for_a_connection_is_decided_anew_when_the_list_changes() {
     let (stuck, good) = (Server::start(Does::NeverUp), Server::start(Does::Serves));
-    let gateway = Gateway::start_with(&[&stuck], patient);
-    until("the list is watched", || gateway.list.count("watch") == 1);
+    let gateway = Gateway::watching(&[&stuck], patient);
     let mut client = gateway.client();
     client.send(&query(&insert("a1", "pay", 1900)));
     until("a connection is waited for", || stuck.seen.lock().unwrap().connections == 1);
-    gateway.list.write(&chunk(&(list(9, true, &[host("s0", good.addr, "up", 1)]).to_string() + "\n")));
+    gateway.list.tell(&list(9, true, &[host("s0", good.addr, "up", 1)]));
     assert_eq!(outcome(&client.answer()), Ok("a1".to_string()));
     assert_eq!(gateway.counter("sub_not_sent"), 1);
 }
@@ -579,7 +575,7 @@
     client.send(&query(&insert("a1", "pay", 1900)));
     until("a connection is waited for", || stuck.seen.lock().unwrap().connections == 1);
     let told = json!({"type": "ROLLOUT", "object": state(2, 0, "IN_PROGRESS", 0.1)});
-    gateway.platform.write(&chunk(&format!("{told}\n")));
+    gateway.platform.tell(&told);
     until("it is sent anew", || stuck.seen.lock().unwrap().connections == 2);
     stuck.set(Does::Serves);
     assert_eq!(outcome(&client.answer()), Ok("a1".to_string()));
@@ -588,15 +584,14 @@
 #[test]
 fn a_connection_that_comes_up_with_news_of_its_server_carries_nothing() {
     let (stuck, good) = (Server::start(Does::NeverUp), Server::start(Does::Serves));
-    let gateway = Gateway::start_with(&[&stuck], patient);
-    until("the list is watched", || gateway.list.count("watch") == 1);
+    let gateway = Gateway::watching(&[&stuck], patient);
     let mut client = gateway.client();
     client.send(&query(&insert("a1", "pay", 1900)));
     until("a connection is waited for", || stuck.seen.lock().unwrap().connections == 1);
     gateway.signal("STOP");
     stuck.set(Does::Serves);
     thread::sleep(Duration::from_millis(100));
-    gateway.list.write(&chunk(&(list(9, true, &[host("s0", good.addr, "up", 1)]).to_string() + "\n")));
+    gateway.list.tell(&list(9, true, &[host("s0", good.addr, "up", 1)]));
     gateway.signal("CONT");
     assert_eq!(outcome(&client.answer()), Ok("a1".to_string()));
     assert_eq!((stuck.queries().len(), good.queries().len()), (0, 1));
@@ -620,8 +615,7 @@
 #[test]
 fn after_standing_still_all_that_came_is_heard_before_anything_is_sent() {
     let (old, new) = (Server::start(Does::Serves), Server::start(Does::Serves));
-    let gateway = Gateway::start(&[&old]);
-    until("the list is watched", || gateway.list.count("watch") == 1);
+    let gateway = Gateway::watching(&[&old], |_| ());
     let mut clients: Vec<Client> = (0..80).map(|_| gateway.client()).collect();
     gateway.signal("STOP");
     clients
@@ -629,7 +623,7 @@
         .enumerate()
         .for_each(|(n, client)| client.send(&query(&select(&format!("a{n}"), "look", 1900))));
     let changes = [host("s0", old.addr, "draining", 1), host("s1", new.addr, "up", 1)];
-    gateway.list.write(&chunk(&(list(6, false, &changes).to_string() + "\n")));
+    gateway.list.tell(&list(6, false, &changes));
     thread::sleep(Duration::from_millis(200));
     gateway.signal("CONT");
     clients.iter_mut().for_each(|client| assert_eq!(client.answer().last().unwrap().0, b'Z'));
@@ -639,6 +633,7 @@
 #[rstest]
 #[case::class("/settings/classes/0/aim-s", json!("soon"), "classes[0].aim-s")]
 #[case::effect("/settings/classes/1/effect", json!("sometimes"), "classes[1].effect")]
+#[case::unit("/settings/permissions", json!({"dial-timeout-ms": 250}), "permissions.dial-timeout-ms: unknown unit")]
 #[case::missing("/settings/domain", json!({}), "domain")]
 #[case::listen("/listen", json!("nowhere"), "listen")]
 #[case::discovery("/discovery", json!(7), "discovery")]
@@ -665,6 +660,19 @@
     assert!(lines.len() == 1 && lines[0].contains(named), "{lines:?}");
 }
 
+#[test]
+fn without_its_variable_or_its_file_it_ends_with_one_line() {
+    for (path, said) in
+        [(None, "BALANCER_CONFIG: not set"), (Some("/nowhere/at/all"), "BALANCER_CONFIG: /nowhere/at/all")]
+    {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_latchhaven"));
+        let out = command.env_clear().envs(path.map(|path| ("BALANCER_CONFIG", path))).output().unwrap();
+        let lines = String::from_utf8(out.stderr).unwrap();
+        assert_eq!((out.status.code(), lines.lines().count()), (Some(1), 1));
+        assert!(lines.contains(said), "{lines}");
+    }
+}
+
 #[test]
 fn a_file_that_is_no_json_ends_the_start_and_unknown_keys_do_not() {
     ends_with("{\"name\": ", "BALANCER_CONFIG");
--- a/crates/wire/src/terms.rs
+++ b/crates/wire/src/terms.rs
@@ -189,8 +189,48 @@
     rules: Rules,
 }
 
+/// Times of the table above, by their names without the unit.
+const TIMES: [&str; 15] = [
+    "aim",
+    "hard-limit",
+    "dedup-window",
+    "window",
+    "vote-ttl",
+    "soak",
+    "auto-after",
+    "api-timeout",
+    "conn-idle",
+    "dial-timeout",
+    "max-retry-after",
+    "ask-within",
+    "drain-grace",
+    "warm-up",
+    "fall",
+];
+
+/// Units that a time might be given in by mistake.
+const UNITS: [&str; 6] = ["ns", "us", "ms", "m", "min", "h"];
+
+/// A time in another unit than seconds: as an unknown key it would be ignored, and a default stand for it.
+fn other_unit(value: &serde_json::Value) -> Option<String> {
+    match value {
+        serde_json::Value::Object(fields) => fields.iter().find_map(|(key, value)| {
+            let (name, unit) = key.rsplit_once('-').unwrap_or((key, ""));
+            let other =
+                UNITS.contains(&unit) && TIMES.contains(&name) && !fields.contains_key(&format!("{name}-s"));
+            let other = other.then(|| format!("{key}: unknown unit, times are in seconds"));
+            other.or_else(|| other_unit(value).map(|found| format!("{key}.{found}")))
+        }),
+        serde_json::Value::Array(values) => values.iter().find_map(other_unit),
+        _ => None,
+    }
+}
+
 /// Reads and checks the settings object.
 pub fn read(text: &str) -> Result<Terms, WireFault> {
+    if let Some(found) = serde_json::from_str(text).ok().as_ref().and_then(other_unit) {
+        return Err(WireFault::Settings(found));
+    }
     let mut reader = serde_json::Deserializer::from_str(text);
     let read = serde_path_to_error::deserialize(&mut reader);
     let terms: Terms = read.map_err(|fault| WireFault::Settings(fault.to_string()))?;
