--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -238,8 +238,8 @@
         Event::Fleet { kind, version: list.version, entries }
     }
 
-    /// Takes over news of the newest build. Feed and answers to votes come on connections of their own and may
-    /// cross: the state that began last stands.
+    /// Takes over news of the newest build. Feed and answers to votes come on connections of their own and
+    /// may cross: the state that began last stands.
     fn staged(&mut self, stage: StageNews) -> StageNews {
         if !stage.valid {
             return stage;
--- a/crates/gateway/src/net/servers.rs
+++ b/crates/gateway/src/net/servers.rs
@@ -299,7 +299,8 @@
     };
     if let Err(why) = up.and_then(|up| up) {
         COUNTERS.server_dials_failed.add();
-        tracing::debug!(instance = link.instance, %why, connected = link.stream.get().is_some(), "no connection");
+        let connected = link.stream.get().is_some();
+        tracing::debug!(instance = link.instance, %why, connected, "no connection");
         let _ = notes.send(Note::NotUp { link }).await;
         return;
     }
