--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use crate::net::{Answer, CROSSING, NOTES_HELD, Note, list_kind};
 use crate::proto::pg::{self, Statement};
 use bytes::Bytes;
-use latchhaven::api::{Action, Ending, Event, ListKind, Load, Ms, Reports, StageNews};
+use latchhaven::api::{Action, Connections, Ending, Event, ListKind, Load, Ms, Reports, StageNews};
 use latchhaven::choice::Choice;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -78,8 +78,7 @@
     next: Vec<Event>,
     probes: BTreeMap<u64, (String, Ms)>,
     probed: u64,
-    dial_within: Ms,
-    reports: Reports,
+    connections: Connections,
     /// The state of the newest build, and since when it stands so.
     news: Option<(StageNews, Ms)>,
     list_addr: SocketAddr,
@@ -91,7 +90,7 @@
 
 impl Gateway {
     pub fn new(
-        choice: Choice, clock: Clock, pool: Pool, dial_within: Ms, reports: Reports, list_addr: SocketAddr,
+        choice: Choice, clock: Clock, pool: Pool, connections: Connections, list_addr: SocketAddr,
         votes: mpsc::Sender<Vote>, notes: mpsc::Sender<Note>,
     ) -> Self {
         Gateway {
@@ -103,8 +102,7 @@
             next: Vec::new(),
             probes: BTreeMap::new(),
             probed: 0,
-            dial_within,
-            reports,
+            connections,
             news: None,
             list_addr,
             version: 0,
@@ -316,7 +314,7 @@
             Errand::Submission { id, n } => (id, n),
             Errand::Probe(number) => {
                 let Some((instance, at)) = self.probes.remove(&number) else { return };
-                let report = value.as_ref().filter(|_| self.reports == Reports::InProbes);
+                let report = value.as_ref().filter(|_| self.connections.reports == Reports::InProbes);
                 let load = report.and_then(|[_, row, _]| pg::text_of(row)).map(pg::load).unwrap_or(load);
                 return events.push(Event::Probed { instance, ending, took: now - at, load });
             }
@@ -413,9 +411,10 @@
         let now = self.clock.now();
         COUNTERS.probes.add();
         self.probed += 1;
-        let (errand, until) = (Errand::Probe(self.probed), now + self.dial_within);
+        let (errand, until) = (Errand::Probe(self.probed), now + self.connections.dial_within);
         self.probes.insert(self.probed, (instance.clone(), now));
-        if self.pool.send(&instance, errand, None, until, now) {
+        let allowed = must!(self.connections.probes, "probes only where allowed");
+        if allowed && self.pool.send(&instance, errand, None, until, now) {
             self.remind(until, Due::Limit(errand));
         } else {
             self.hand_back(vec![errand]);
--- a/crates/gateway/tests/stories.rs
+++ b/crates/gateway/tests/stories.rs
@@ -2,10 +2,11 @@
 
 mod standins;
 
+use bytes::Bytes;
 use latchhaven::api::{Connections, Ending, Listing, Reports};
-use latchhaven_gateway::net::Note;
 use latchhaven_gateway::net::list::read as read_list;
 use latchhaven_gateway::net::servers::{Errand, Pool, Stopped};
+use latchhaven_gateway::net::{Note, write_all};
 use rstest::rstest;
 use serde_json::{Value, json};
 use standins::*;
@@ -148,10 +149,10 @@
     read_list(list(1, true, &[host("s0", addr, "up", 1)]).to_string().as_bytes()).unwrap().entries.remove(0)
 }
 
-fn pool() -> (Pool, mpsc::Receiver<Note>) {
+fn pool(reports: Reports) -> (Pool, mpsc::Receiver<Note>) {
     let (notes, noted) = mpsc::channel(16);
-    let reports = Reports::Silent;
-    let connections = Connections { idle: 9000.0, dial_within: 5000.0, vote_within: 500.0, reports };
+    let (idle, dial_within, vote_within, probes) = (9000.0, 5000.0, 500.0, true);
+    let connections = Connections { idle, dial_within, vote_within, probes, reports };
     (Pool::new(4, connections, notes), noted)
 }
 
@@ -160,7 +161,7 @@
 
 /// A pool alone, with one connection to a server that idles; tasks go on only where a story waits.
 async fn idling(server: &Server) -> (Pool, mpsc::Receiver<Note>) {
-    let (mut pool, mut noted) = pool();
+    let (mut pool, mut noted) = pool(Reports::Silent);
     let (listing, addr) = up(server.addr);
     pool.relist(&listing, addr);
     assert!(pool.send("s0", FIRST, None, 1000.0, 0.0));
@@ -194,6 +195,56 @@
     });
 }
 
+#[rstest]
+#[case::in_answers(Reports::InAnswers, "SELECT 1", 2)]
+#[case::in_probes(Reports::InProbes, "SHOW load", 0)]
+#[case::silent(Reports::Silent, "SELECT 1", 0)]
+fn probes_and_reports_are_as_the_settings_say(
+    #[case] reports: Reports, #[case] asked: &'static str, #[case] figures: usize,
+) {
+    alone(async move {
+        let server = Server::start(Does::Chats);
+        let (mut pool, mut noted) = pool(reports);
+        let (listing, addr) = up(server.addr);
+        pool.relist(&listing, addr);
+        assert!(pool.send("s0", Errand::Probe(1), None, 1000.0, 0.0));
+        let Some(Note::Free { link, first }) = noted.recv().await else { panic!("it never came up") };
+        pool.free(link, first, 0.0);
+        let Some(Note::Ended { ending, load, .. }) = noted.recv().await else { panic!("it never ended") };
+        assert_eq!((ending, load.len()), (Ending::Settled, figures));
+        assert_eq!(server.queries(), [(0, asked.to_string())]);
+    });
+}
+
+#[test]
+fn a_write_that_breaks_before_its_last_byte_is_told_so() {
+    alone(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (peer, _) = listener.accept().unwrap();
+        // More than both machines hold for a peer that does not read, in pieces of which some are empty.
+        let pieces = [Bytes::from(vec![b'x'; 32 << 20]), Bytes::new(), Bytes::from_static(b"end")];
+        let ending = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            drop(peer);
+        };
+        assert!(tokio::join!(write_all(&stream, &pieces), ending).0.is_err());
+    });
+}
+
+#[test]
+fn a_vote_without_a_connection_was_not_carried_out() {
+    let (earlier, trial) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    let gateway = Gateway::start_with(&[&earlier, &trial], |config| {
+        let closed = TcpListener::bind("127.0.0.1:0").unwrap();
+        config["known"]["hosts"][1]["release"] = json!(2);
+        config["pipeline"]["news"] = state(2, 0, "IN_PROGRESS", 0.5);
+        config["pipeline"]["address"] = json!(closed.local_addr().unwrap().to_string());
+    });
+    until("its end is told", || gateway.counter("votes_not_counted") >= 1);
+    assert_eq!((gateway.counter("votes_counted"), gateway.counter("votes_unsure")), (0, 0));
+}
+
 #[test]
 fn what_is_stopped_before_its_last_byte_is_told_so_and_never_comes() {
     alone(async {
@@ -211,7 +262,7 @@
 fn connections_still_opened_to_what_was_there_before_are_not_waited_for() {
     alone(async {
         let (stuck, closed) = (Server::start(Does::NeverUp), TcpListener::bind("127.0.0.1:0").unwrap());
-        let (mut pool, mut noted) = pool();
+        let (mut pool, mut noted) = pool(Reports::Silent);
         let (listing, old) = up(stuck.addr);
         let new = closed.local_addr().unwrap();
         drop(closed);
--- a/crates/wire/src/terms.rs
+++ b/crates/wire/src/terms.rs
@@ -296,6 +296,7 @@
             idle: self.permissions.conn_idle * MS_PER_S,
             dial_within: self.permissions.dial_timeout * MS_PER_S,
             vote_within: self.domain.api_timeout * MS_PER_S,
+            probes: self.permissions.probes,
             reports: match self.load_report.via {
                 Via::Silent => api::Reports::Silent,
                 Via::Piggyback => api::Reports::InAnswers,
--- a/src/api.rs
+++ b/src/api.rs
@@ -296,5 +296,6 @@
     pub dial_within: Ms,
     /// How long the answer to a vote is waited for.
     pub vote_within: Ms,
+    pub probes: bool,
     pub reports: Reports,
 }
