--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -39,8 +39,21 @@
     pub news: Option<StageNews>,
 }
 
+/// All that a file tells: addresses, descriptors, what was known, the seed, and the settings.
+pub type Told = (Addresses, usize, Known, u64, Terms);
+
 /// Reads the file that `BALANCER_CONFIG` names; the other variables go before what stands in it.
-pub fn read(env: impl Fn(&str) -> Option<String>) -> Result<(Addresses, usize, Known, u64, Terms), Fault> {
+pub fn read(env: impl Fn(&str) -> Option<String>) -> Result<Told, Fault> {
+    read_from(env, false)
+}
+
+/// Reads and checks the whole file once more: where the list and the platform are from now on. The variable named
+/// the address at the start; what the file says now is newer.
+pub fn read_again(env: impl Fn(&str) -> Option<String>) -> Result<(SocketAddr, Option<SocketAddr>), Fault> {
+    read_from(env, true).map(|(addresses, ..)| (addresses.list, addresses.platform))
+}
+
+fn read_from(env: impl Fn(&str) -> Option<String>, again: bool) -> Result<Told, Fault> {
     let path = env("BALANCER_CONFIG").ok_or(Fault::Unset("BALANCER_CONFIG"))?;
     let unreadable = |why: String| Fault::Unreadable(format!("BALANCER_CONFIG: {path}"), why);
     let text = std::fs::read_to_string(&path).map_err(|fault| unreadable(fault.to_string()))?;
@@ -51,7 +64,10 @@
     let addresses = Addresses {
         name: named(&env, "BALANCER_NAME", &whole, "name")?,
         listen: address("listen", &named(&env, "BALANCER_LISTEN", &whole, "listen")?)?,
-        list: address("discovery", &named(&env, "BALANCER_DISCOVERY", &whole, "discovery")?)?,
+        list: match whole.get("discovery").filter(|_| again) {
+            Some(value) => address("discovery", text_of("discovery", value)?)?,
+            None => address("discovery", &named(&env, "BALANCER_DISCOVERY", &whole, "discovery")?)?,
+        },
         platform: match whole.pointer("/pipeline/address") {
             None | Some(Value::Null) => None,
             Some(value) => Some(address("pipeline.address", text_of("pipeline.address", value)?)?),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -83,7 +83,11 @@
     news: Option<(StageNews, Ms)>,
     list_addr: SocketAddr,
     version: u64,
-    watch: Option<AbortHandle>,
+    /// The calls for the list that are out, by number; after a move the earlier watch goes on until the new one tells.
+    watch: Option<(u64, AbortHandle)>,
+    leaving: Option<(u64, AbortHandle)>,
+    fetching: Option<(u64, AbortHandle)>,
+    called: u64,
     votes: mpsc::Sender<Vote>,
     notes: mpsc::Sender<Note>,
 }
@@ -107,6 +111,9 @@
             list_addr,
             version: 0,
             watch: None,
+            leaving: None,
+            fetching: None,
+            called: 0,
             votes,
             notes,
         }
@@ -133,7 +140,7 @@
                 batch.push(note);
             }
             // What the list and the platform told comes before all that is decided after it.
-            batch.sort_by_key(|note| !matches!(note, Note::List(_) | Note::Stage(_) | Note::Tally(_)));
+            batch.sort_by_key(|note| !matches!(note, Note::List { .. } | Note::Stage(_) | Note::Tally(_)));
             let mut events = std::mem::take(&mut self.next);
             for note in batch.drain(..) {
                 self.hear(note, &mut events);
@@ -192,15 +199,26 @@
                     self.ended(errand, ending, value, load, events);
                 }
             }
-            Note::List(Some(list)) => {
-                COUNTERS.list_changes.add();
-                let event = self.listed(list_kind(list.whole), list);
-                events.push(event);
-            }
-            Note::List(None) => {
-                let (kind, version) = (ListKind::Failed, self.version);
-                events.push(Event::Fleet { kind, version, entries: Vec::new() });
+            Note::List { call, list } => {
+                let is = |out: &Option<(u64, AbortHandle)>| out.as_ref().is_some_and(|(n, _)| *n == call);
+                let (new, old) = (is(&self.watch) || is(&self.fetching), is(&self.leaving));
+                match list {
+                    Some(list) if new || old => {
+                        // Both would tell the same, and the earlier one later.
+                        self.leaving.take_if(|_| new).inspect(|(_, earlier)| earlier.abort());
+                        COUNTERS.list_changes.add();
+                        let event = self.listed(list_kind(list.whole), list);
+                        events.push(event);
+                    }
+                    None if new => {
+                        let (kind, version) = (ListKind::Failed, self.version);
+                        events.push(Event::Fleet { kind, version, entries: Vec::new() });
+                    }
+                    // Called before a move, or before a later call.
+                    _ => {}
+                }
             }
+            Note::Moved { list } => self.moved(list),
             Note::Stage(stage) => {
                 let stage = self.staged(stage);
                 events.push(Event::Stage(stage));
@@ -362,15 +380,12 @@
             Action::Probe { instance } => self.probe(instance),
             Action::CloseIdle { instance } => self.pool.close_idle(&instance),
             Action::Watch { on } => {
-                self.watch.take().inspect(AbortHandle::abort);
+                self.watch.take().inspect(|(_, watch)| watch.abort());
                 if on {
-                    let watch = list::watch(self.list_addr, self.version, self.notes.clone());
-                    self.watch = Some(tokio::task::spawn_local(watch).abort_handle());
+                    self.watch();
                 }
             }
-            Action::Fetch => {
-                tokio::task::spawn_local(list::fetch(self.list_addr, self.notes.clone()));
-            }
+            Action::Fetch => self.fetch(),
             Action::Vote { build, stage, verdict } => {
                 let vote = Vote { build, stage, verdict, cast: Instant::now() };
                 must!(self.votes.try_send(vote).is_ok(), "few votes wait for the platform");
@@ -381,6 +396,34 @@
         }
     }
 
+    fn watch(&mut self) {
+        self.called += 1;
+        let watch = list::watch(self.list_addr, self.version, self.called, self.notes.clone());
+        self.watch = Some((self.called, tokio::task::spawn_local(watch).abort_handle()));
+    }
+
+    fn fetch(&mut self) {
+        self.called += 1;
+        let fetch = list::fetch(self.list_addr, self.called, self.notes.clone());
+        let earlier = self.fetching.replace((self.called, tokio::task::spawn_local(fetch).abort_handle()));
+        earlier.inspect(|(_, fetch)| fetch.abort());
+    }
+
+    /// Calls that are out, or were to be made again later, go to the new address at once.
+    fn moved(&mut self, list: SocketAddr) {
+        if std::mem::replace(&mut self.list_addr, list) == list {
+            return;
+        }
+        if let Some(watch) = self.watch.take() {
+            let earlier = self.leaving.replace(watch);
+            earlier.inspect(|(_, watch)| watch.abort());
+            self.watch();
+        }
+        if self.fetching.as_ref().is_some_and(|(_, fetch)| !fetch.is_finished()) {
+            self.fetch();
+        }
+    }
+
     fn answer(&mut self, id: u32, answer: Answer, count: &Count) {
         let Some(reply) = self.open.get_mut(&id).and_then(|open| open.reply.take()) else { return };
         count.add();
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -5,7 +5,7 @@
 use latchhaven_gateway::gateway::{Clock, Gateway};
 use latchhaven_gateway::net::clients::Clients;
 use latchhaven_gateway::net::servers::Pool;
-use latchhaven_gateway::net::{CLIENTS_OF_EIGHT, KEPT, LAST_ACCEPTS, NOTES_HELD, VOTES_HELD, platform};
+use latchhaven_gateway::net::{CLIENTS_OF_EIGHT, KEPT, LAST_ACCEPTS, NOTES_HELD, Note, VOTES_HELD, platform};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::io;
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::select;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 use tracing_appender::non_blocking::NonBlockingBuilder;
@@ -71,10 +71,11 @@
 
 async fn serve() -> io::Result<()> {
     let clock = Clock::start();
-    let configured = config::read(|name| std::env::var(name).ok());
-    let (addresses, sockets, known, seed, terms) = configured.map_err(io::Error::other)?;
+    // Before anything that takes time: unheeded, each of these would end the process.
     let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    let mut asked = signal(SignalKind::user_defined1())?;
+    let (mut asked, mut again) = (signal(SignalKind::user_defined1())?, signal(SignalKind::hangup())?);
+    let env = |name: &str| std::env::var(name).ok();
+    let (addresses, sockets, known, seed, terms) = config::read(env).map_err(io::Error::other)?;
     let listener = listen(addresses.listen)
         .map_err(|fault| io::Error::new(fault.kind(), format!("listen: {}: {fault}", addresses.listen)))?;
 
@@ -82,12 +83,24 @@
     let (votes, cast) = mpsc::channel(VOTES_HELD);
     let (to_clients, connections) = ((sockets - KEPT) * CLIENTS_OF_EIGHT / 8, terms.connections());
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    if let Some(addr) = addresses.platform {
-        let within = Duration::from_secs_f64(connections.vote_within / 1000.0);
-        let feed_rng = Pcg64Mcg::from_rng(&mut rng);
-        tokio::task::spawn_local(platform::feed(addr, feed_rng, notes.clone()));
-        tokio::task::spawn_local(platform::votes(addr, within, cast, notes.clone()));
-    }
+    let (platform, at) = watch::channel(addresses.platform);
+    let within = Duration::from_secs_f64(connections.vote_within / 1000.0);
+    let feed_rng = Pcg64Mcg::from_rng(&mut rng);
+    tokio::task::spawn_local(platform::feed(at.clone(), feed_rng, notes.clone()));
+    tokio::task::spawn_local(platform::votes(at, within, cast, notes.clone()));
+    let moves = notes.clone();
+    tokio::task::spawn_local(async move {
+        while again.recv().await.is_some() {
+            match config::read_again(env) {
+                Ok((list, addr)) => {
+                    tracing::info!(%list, platform = ?addr, "configuration read anew");
+                    let _ = moves.send(Note::Moved { list }).await;
+                    platform.send_if_modified(|held| std::mem::replace(held, addr) != addr);
+                }
+                Err(fault) => tracing::warn!(%fault, "configuration unfit, the earlier one stays"),
+            }
+        }
+    });
     let pool = Pool::new(sockets - KEPT - to_clients, connections.clone(), notes.clone());
     let gateway = Gateway::new(
         terms.asking().start(seed),
--- a/crates/gateway/src/net/list.rs
+++ b/crates/gateway/src/net/list.rs
@@ -84,23 +84,25 @@
 }
 
 /// Watches from a version on, until the connection ends. Every way out is told as a failed call.
-pub async fn watch(addr: SocketAddr, after: u64, notes: mpsc::Sender<Note>) {
+pub async fn watch(addr: SocketAddr, after: u64, number: u64, notes: mpsc::Sender<Note>) {
     let path = format!("/v1/servers?watch=1&after={after}");
-    let why =
-        watched(addr, &path, after, &notes).await.err().unwrap_or_else(|| "the watch ended".to_string());
+    let why = watched(addr, &path, after, number, &notes)
+        .await
+        .err()
+        .unwrap_or_else(|| "the watch ended".to_string());
     tracing::info!(why, "list: watch over");
     COUNTERS.list_failures.add();
-    let _ = notes.send(Note::List(None)).await;
+    let _ = notes.send(Note::List { call: number, list: None }).await;
 }
 
 /// Asks for the whole list once.
-pub async fn fetch(addr: SocketAddr, notes: mpsc::Sender<Note>) {
+pub async fn fetch(addr: SocketAddr, number: u64, notes: mpsc::Sender<Note>) {
     let list = timeout(LIST_CALL, fetched(addr)).await.unwrap_or_else(|_| Err("no answer".to_string()));
     if let Err(why) = &list {
         tracing::info!(why, "list: call failed");
         COUNTERS.list_failures.add();
     }
-    let _ = notes.send(Note::List(list.ok())).await;
+    let _ = notes.send(Note::List { call: number, list: list.ok() }).await;
 }
 
 async fn call(addr: SocketAddr, path: &str) -> io::Result<TcpStream> {
@@ -111,7 +113,9 @@
     Ok(stream)
 }
 
-async fn watched(addr: SocketAddr, path: &str, after: u64, notes: &mpsc::Sender<Note>) -> Result<(), String> {
+async fn watched(
+    addr: SocketAddr, path: &str, after: u64, number: u64, notes: &mpsc::Sender<Note>,
+) -> Result<(), String> {
     let stream = call(addr, path).await.map_err(|fault| fault.to_string())?;
     let (mut reader, mut body, mut buf) = (Reader::default(), Body::default(), BytesMut::new());
     let (mut answered, mut silence) = (false, LIST_CALL);
@@ -131,7 +135,7 @@
                         line => read(line)?,
                     };
                     answered = true;
-                    let _ = notes.send(Note::List(Some(list))).await;
+                    let _ = notes.send(Note::List { call: number, list: Some(list) }).await;
                 }
             }
             None => match timeout(silence, read_some(&stream, &mut buf)).await {
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -10,6 +10,7 @@
 use socket2::SockRef;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -70,8 +71,10 @@
     Over { link: Rc<servers::Link> },
     /// What was sent on a connection has ended.
     Ended { link: Rc<servers::Link>, ending: Ending, value: Option<[Bytes; 3]>, load: Load },
-    /// The list or changes to it; none: the call failed.
-    List(Option<list::List>),
+    /// The list or changes to it, by the call with this number; none: the call failed.
+    List { call: u64, list: Option<list::List> },
+    /// The list is to be had at another address from now on.
+    Moved { list: SocketAddr },
     /// News of the newest build.
     Stage(StageNews),
     /// A tally of the platform.
--- a/crates/gateway/src/net/platform.rs
+++ b/crates/gateway/src/net/platform.rs
@@ -9,9 +9,11 @@
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::select;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// What the platform counted over a period.
@@ -111,55 +113,142 @@
     }
 }
 
-/// Keeps a feed open; a lost one is opened again, later each time it brings nothing.
-pub async fn feed(addr: SocketAddr, mut rng: Pcg64Mcg, notes: mpsc::Sender<Note>) {
-    let mut again = FEED_AGAIN;
+/// Keeps a feed open; a lost one is opened again, later each time it brings nothing. One at a new address is open
+/// before the earlier one is let go: what is told while none stands is not told again.
+pub async fn feed(mut at: watch::Receiver<Option<SocketAddr>>, mut rng: Pcg64Mcg, notes: mpsc::Sender<Note>) {
+    let (mut again, mut held) = (FEED_AGAIN, None::<Feed>);
     loop {
-        let mut lines = 0u64;
-        let why = fed(addr, &notes, &mut lines).await.err().unwrap_or_else(|| "it ended".to_string());
-        COUNTERS.feed_lost.add();
-        tracing::info!(why, lines, "platform: feed lost");
+        let addr = *at.borrow_and_update();
+        let opened = {
+            let mut opening = pin!(Feed::open(addr));
+            loop {
+                select! {
+                    opened = &mut opening => break Some(opened),
+                    why = told_by(&mut held, &notes), if held.is_some() => lost(why, &mut held),
+                    Ok(()) = at.changed() => break None,
+                }
+            }
+        };
+        let mut lines = 0;
+        match opened {
+            None => {
+                again = FEED_AGAIN;
+                continue;
+            }
+            Some(Ok(feed)) => {
+                held = Some(feed);
+                select! {
+                    why = told_by(&mut held, &notes) => {
+                        lines = held.as_ref().map_or(0, |feed| feed.lines);
+                        lost(why, &mut held);
+                    }
+                    Ok(()) = at.changed() => {
+                        again = FEED_AGAIN;
+                        continue;
+                    }
+                }
+            }
+            Some(Err(why)) => tracing::info!(why, "platform: feed not opened"),
+        }
         again = if lines > 0 { FEED_AGAIN } else { (2 * again).min(FEED_AGAIN_MOST) };
-        sleep(again.mul_f64(rng.random_range(0.5..1.0))).await;
+        let wait = sleep(again.mul_f64(rng.random_range(0.5..1.0)));
+        let wait = async {
+            select! {
+                () = wait => {}
+                Ok(()) = at.changed() => again = FEED_AGAIN,
+            }
+        };
+        let mut wait = pin!(wait);
+        loop {
+            select! {
+                () = &mut wait => break,
+                why = told_by(&mut held, &notes), if held.is_some() => lost(why, &mut held),
+            }
+        }
     }
 }
 
-async fn fed(addr: SocketAddr, notes: &mpsc::Sender<Note>, lines: &mut u64) -> Result<(), String> {
-    let text = |fault: std::io::Error| fault.to_string();
-    let dialed = timeout(DIAL, TcpStream::connect(addr)).await.map_err(|_| "no connection".to_string())?;
-    let stream = dialed.map_err(text)?;
-    stream.set_nodelay(true).map_err(text)?;
-    write_all(&stream, &[http::get(&addr.to_string(), "/v1/feed")]).await.map_err(text)?;
-    COUNTERS.feed_opened.add();
-    let (mut reader, mut body, mut buf) = (Reader::default(), Body::default(), BytesMut::new());
-    loop {
-        match reader.next(&mut buf).map_err(|fault| fault.to_string())? {
-            Some(Part::Head { status: 200, .. }) => {}
-            Some(Part::Head { status, .. }) => return Err(format!("status {status}")),
-            Some(Part::End) => return Ok(()),
-            Some(Part::Body(piece)) => {
-                body.add(&piece).map_err(|fault| fault.to_string())?;
-                while let Some(line) = body.line() {
-                    *lines += 1;
-                    // A single bad line tells nothing of those that follow.
-                    let note = match told(&line) {
-                        Ok(Told::State(news)) => Note::Stage(news),
-                        Ok(Told::Tally(tally)) => Note::Tally(tally),
-                        Ok(Told::Nothing) => continue,
-                        Err(_) if line.trim_ascii().is_empty() => continue,
-                        Err(why) => {
-                            tracing::warn!(why, "platform: a line of the feed cannot be read");
-                            continue;
-                        }
-                    };
-                    let _ = notes.send(note).await;
+fn lost(why: String, held: &mut Option<Feed>) {
+    COUNTERS.feed_lost.add();
+    tracing::info!(why, lines = held.take().map(|feed| feed.lines), "platform: feed lost");
+}
+
+/// Tells what a feed brings until it is lost; why that is.
+async fn told_by(held: &mut Option<Feed>, notes: &mpsc::Sender<Note>) -> String {
+    match held {
+        Some(feed) => feed.tell(notes).await.err().unwrap_or_else(|| "it ended".to_string()),
+        None => "none is open".to_string(),
+    }
+}
+
+/// An open feed.
+struct Feed {
+    stream: TcpStream,
+    reader: Reader,
+    body: Body,
+    buf: BytesMut,
+    lines: u64,
+    heard: Instant,
+}
+
+impl Feed {
+    /// Opens a feed, up to the head of its answer.
+    async fn open(addr: Option<SocketAddr>) -> Result<Feed, String> {
+        // No platform is known: until another configuration names one there is none.
+        let Some(addr) = addr else { return std::future::pending().await };
+        let text = |fault: std::io::Error| fault.to_string();
+        let opening = async {
+            let stream = timeout(DIAL, TcpStream::connect(addr)).await.map_err(|_| "no connection")?;
+            let stream = stream.map_err(text)?;
+            stream.set_nodelay(true).map_err(text)?;
+            write_all(&stream, &[http::get(&addr.to_string(), "/v1/feed")]).await.map_err(text)?;
+            let (mut reader, mut buf) = (Reader::default(), BytesMut::new());
+            loop {
+                match reader.next(&mut buf).map_err(|fault| fault.to_string())? {
+                    Some(Part::Head { status: 200, .. }) => {
+                        let (body, lines, heard) = (Body::default(), 0, Instant::now());
+                        return Ok(Feed { stream, reader, body, buf, lines, heard });
+                    }
+                    Some(Part::Head { status, .. }) => return Err(format!("status {status}")),
+                    Some(_) => return Err("no head".to_string()),
+                    None if read_some(&stream, &mut buf).await.map_err(text)? > 0 => {}
+                    None => return Err("it ended before its head".to_string()),
+                }
+            }
+        };
+        let opened =
+            timeout(FEED_SILENCE, opening).await.unwrap_or_else(|_| Err("no head in time".to_string()));
+        opened.inspect(|_| COUNTERS.feed_opened.add())
+    }
+
+    /// Tells line by line. Nothing is lost where this is dropped and called again.
+    async fn tell(&mut self, notes: &mpsc::Sender<Note>) -> Result<(), String> {
+        loop {
+            let Ok(place) = notes.reserve().await else { return Ok(()) };
+            if let Some(line) = self.body.line() {
+                self.lines += 1;
+                match told(&line) {
+                    Ok(Told::State(news)) => place.send(Note::Stage(news)),
+                    Ok(Told::Tally(tally)) => place.send(Note::Tally(tally)),
+                    Ok(Told::Nothing) => {}
+                    Err(_) if line.trim_ascii().is_empty() => {}
+                    // Where one line is spoilt, what follows it may be out of step.
+                    Err(why) => return Err(format!("a line cannot be read: {why}")),
+                }
+                continue;
+            }
+            match self.reader.next(&mut self.buf).map_err(|fault| fault.to_string())? {
+                Some(Part::Head { .. } | Part::End) => return Ok(()),
+                Some(Part::Body(piece)) => self.body.add(&piece).map_err(|fault| fault.to_string())?,
+                None => {
+                    let read = timeout_at(self.heard + FEED_SILENCE, read_some(&self.stream, &mut self.buf));
+                    match read.await.map_err(|_| "no sign of life".to_string())? {
+                        Ok(0) => return Ok(()),
+                        read => drop(read.map_err(|fault| fault.to_string())?),
+                    }
+                    self.heard = Instant::now();
                 }
             }
-            None => match timeout(FEED_SILENCE, read_some(&stream, &mut buf)).await {
-                Err(_) => return Err("no sign of life".to_string()),
-                Ok(Ok(0)) => return Ok(()),
-                Ok(read) => drop(read.map_err(text)?),
-            },
         }
     }
 }
@@ -183,12 +272,13 @@
 
 /// Casts votes in order, each at most once; a connection stays open for the next one.
 pub async fn votes(
-    addr: SocketAddr, within: Duration, mut queue: mpsc::Receiver<Vote>, notes: mpsc::Sender<Note>,
+    at: watch::Receiver<Option<SocketAddr>>, within: Duration, mut queue: mpsc::Receiver<Vote>,
+    notes: mpsc::Sender<Note>,
 ) {
     let mut open = None;
     while let Some(vote) = queue.recv().await {
         COUNTERS.votes.add();
-        let mut written = false;
+        let (mut written, addr) = (false, *at.borrow());
         let cast = timeout_at(vote.cast + within, cast(addr, &vote, &mut open, &mut written)).await;
         let outcome = match cast {
             Ok(Ok(outcome)) => outcome,
@@ -229,14 +319,18 @@
 
 /// Casts one vote; an error leaves open what the platform did if `written` is set.
 async fn cast(
-    addr: SocketAddr, vote: &Vote, open: &mut Option<(TcpStream, Instant)>, written: &mut bool,
+    addr: Option<SocketAddr>, vote: &Vote, open: &mut Option<(TcpStream, SocketAddr, Instant)>,
+    written: &mut bool,
 ) -> Result<Outcome, String> {
+    let addr = addr.ok_or("no platform is known")?;
     let text = |fault: std::io::Error| fault.to_string();
     let mut buf = BytesMut::new();
     // The platform closes what idles, and what is written to such a connection may have been carried out.
-    let alive = |(stream, since): &(TcpStream, Instant)| since.elapsed() < VOTES_IDLE && !unfit(stream);
+    let alive = |(stream, of, since): &(TcpStream, SocketAddr, Instant)| {
+        *of == addr && since.elapsed() < VOTES_IDLE && !unfit(stream)
+    };
     let stream = match open.take().filter(alive) {
-        Some((stream, _)) => stream,
+        Some((stream, ..)) => stream,
         None => {
             let stream = TcpStream::connect(addr).await.map_err(text)?;
             stream.set_nodelay(true).map_err(text)?;
@@ -265,7 +359,7 @@
     }
     let (status, last) = answer.ok_or("no answer")?;
     if !last {
-        *open = Some((stream, Instant::now()));
+        *open = Some((stream, addr, Instant::now()));
     }
     match status {
         200 => state(&body.take(), true).map(Outcome::Counted),
