--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -35,7 +35,7 @@
 /// A connection on which no txn was taken by then ends: 3 s are allowed from its beginning.
 pub const CLIENT_FIRST: Duration = Duration::from_millis(2200);
 /// A client that asks nothing for so long is let go; for want of room the ones that idle longest go after the second.
-pub const CLIENT_IDLE: Duration = Duration::from_secs(10);
+pub const CLIENT_IDLE: Duration = Duration::from_millis(2050);
 pub const CLIENT_IDLE_LEAST: Duration = Duration::from_secs(2);
 /// One that has never asked makes room after this: usual clients ask as soon as they are there.
 pub const CLIENT_SILENT_LEAST: Duration = Duration::from_millis(50);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -239,6 +239,7 @@
                 self.watched = trial;
                 (self.flags, self.answers, self.weighed) = Default::default();
             }
+            self.before = Arm::pool(&s.arms[PACE], &(0..s.id.len()).collect::<Vec<_>>(), None);
             s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
         }
     }
@@ -267,6 +268,11 @@
         let count = Arm::pool(&s.arms[SCORE], trial, None).count;
         let faults = Self::faults(&s.arms[RIGHT], trial, earlier);
         found.extend(on_trial.then_some((faults, of_own, "own errors and flags")));
+        // A build may slow all servers, old and new: then only the time before it came compares.
+        let all = Arm::pool(&s.arms[PACE], if earlier.is_empty() { trial } else { earlier }, None);
+        let slower = Self::pi(rng, &self.before, &all, PACE_MARGIN);
+        found.extend((on_trial && !trial.is_empty()).then_some((slower, of_own, "pace of all")));
+        self.dragged = on_trial && Self::pi(rng, &self.before, &all, PACE_MARGIN / 2.0) > DOUBT;
         if on_trial && !full {
             let score = Self::pi_by(rng, &s.arms[SCORE], trial, &old(SCORE), 0.0);
             found.push((score, of_own, "score"));
@@ -285,8 +291,8 @@
             let expected = FAULT_MARGIN * (self.flags[0] + 1.0) * new / old;
             found.push((Self::rare(expected, self.flags[1]), of_all, "flags"));
         }
-        let is_sure = found.iter().any(|(pi, delta, _)| *pi > 1.0 - delta);
-        self.sure_since = is_sure.then(|| self.sure_since.unwrap_or(now));
+        self.sure_since =
+            found.iter().any(|(pi, d, _)| *pi > 1.0 - d).then(|| self.sure_since.unwrap_or(now));
         let (pi, _, why) = found.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
         let own = count >= LEAST_OUTCOMES && (full || old(SCORE).count >= LEAST_OUTCOMES);
         self.enough = on_trial && (own || self.tallied >= LEAST_OUTCOMES);
@@ -312,7 +318,7 @@
             return if self.enough && self.pi > DOUBT { Verdict::Hold } else { Verdict::None };
         }
         let calm = news.cap < 1.0 || self.weighed.failed <= self.weighed.expected;
-        let fit = since_start >= SETTLE && self.pi <= DOUBT && calm;
+        let fit = since_start >= SETTLE && self.pi <= DOUBT && calm && !self.dragged;
         // Nothing is capped any more: the trial carries nearly all for a while, unless too much fails then.
         let rehearses = fit && news.cap >= 1.0 && (self.enough || self.rehearsed.is_some());
         self.rehearsed = if rehearses { self.rehearsed.or(Some(now)) } else { None };
--- a/src/state.rs
+++ b/src/state.rs
@@ -270,6 +270,9 @@
     pub stands: bool,
     /// The chance that this gateway is one of those that vote.
     pub voters: f64,
+    /// The pace of all instances as the build came on trial; they are clearly slower since.
+    pub before: Arm,
+    pub dragged: bool,
     /// Mean log pace per product, while no build was on trial.
     pub base: Vec<Arm>,
     /// No earlier instance answers any more.
