--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,6 +25,7 @@
 const FADE_HALF: Ms = 4000.0; // ms in which an outcome's weight halves: long for power, short for late harm
 const FADE_FROM: f64 = 20.0; // outcomes at an instance from which old ones fade: few are all there is
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
+const LOADED: f64 = 1.2; // times the txns for each answering instance up to which paces compare over time
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
 const CLUSTERS: f64 = 3.0; // failures in tallies that come as one: in time, and on few sick machines
 const COLLAPSE: f64 = 0.2; // share of failures on top of those before the trial that no good build costs
@@ -228,7 +229,7 @@
     }
 
     /// Fades what is old; begins all arms together when a build comes on trial, lest earlier trouble count.
-    fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms) {
+    fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms, load: f64) {
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
         let many = s.arms[..RIGHT].iter_mut().flatten().filter(|arm| arm.count > FADE_FROM);
         many.for_each(|arm| arm.fade(half(FADE_HALF)));
@@ -240,6 +241,7 @@
                 (self.flags, self.answers, self.weighed) = Default::default();
             }
             self.before = Arm::pool(&s.arms[PACE], &(0..s.id.len()).collect::<Vec<_>>(), None);
+            self.load_before = load;
             s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
         }
     }
@@ -247,7 +249,7 @@
     /// Judges the build on trial, or just released, every so often, and votes.
     fn judge(&mut self, rng: &mut Pcg64Mcg, s: &mut Servers, sight: Sight, news: &StageNews, out: &mut Out) {
         let now = sight.now;
-        self.refresh(s, sight.trial.first().map(|i| s.build[*i]), now - self.judged);
+        self.refresh(s, sight.trial.first().map(|i| s.build[*i]), now - self.judged, sight.load);
         if (news.build, news.stage) != self.stage {
             (self.stage, self.tallied) = ((news.build, news.stage), 0.0);
             self.weighed.fade(STAGE_KEPT);
@@ -270,9 +272,11 @@
         found.extend(on_trial.then_some((faults, of_own, "own errors and flags")));
         // A build may slow all servers, old and new: then only the time before it came compares.
         let all = Arm::pool(&s.arms[PACE], if earlier.is_empty() { trial } else { earlier }, None);
+        // More txns for each that answers, by a burst or where some are lost, slow them all as well.
+        let alike = on_trial && !trial.is_empty() && sight.load <= LOADED * self.load_before;
         let slower = Self::pi(rng, &self.before, &all, PACE_MARGIN);
-        found.extend((on_trial && !trial.is_empty()).then_some((slower, of_own, "pace of all")));
-        self.dragged = on_trial && Self::pi(rng, &self.before, &all, PACE_MARGIN / 2.0) > DOUBT;
+        found.extend(alike.then_some((slower, of_own, "pace of all")));
+        self.dragged = alike && Self::pi(rng, &self.before, &all, PACE_MARGIN / 2.0) > DOUBT;
         if on_trial && !full {
             let score = Self::pi_by(rng, &s.arms[SCORE], trial, &old(SCORE), 0.0);
             found.push((score, of_own, "score"));
@@ -785,7 +789,10 @@
         if let Some(news) = self.exposure.news.as_ref().filter(|_| due) {
             let (trial, earlier) = self.sides(false);
             let warmth = trial.iter().map(|i| self.fleet.warmth(*i, now)).fold(1.0, f64::min);
-            let sight = Sight { warmth, trial, earlier, now };
+            let answers = |i: &usize| self.fleet.servers.last_answer[*i] > now - RATE_SPAN;
+            let live = self.fleet.ready().filter(answers).count().max(1) as f64;
+            let load = self.fleet.arrivals.since(now - RATE_SPAN) as f64 / live;
+            let sight = Sight { warmth, trial, earlier, load, now };
             self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.desk.out);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -245,6 +245,8 @@
     pub earlier: Vec<usize>,
     /// Capacity that the coldest instance on trial has at least.
     pub warmth: f64,
+    /// Txns that lately came for each instance that lately answered.
+    pub load: f64,
     pub now: Ms,
 }
 
@@ -272,6 +274,7 @@
     pub voters: f64,
     /// The pace of all instances as the build came on trial; they are clearly slower since.
     pub before: Arm,
+    pub load_before: f64,
     pub dragged: bool,
     /// Mean log pace per product, while no build was on trial.
     pub base: Vec<Arm>,
