--- a/src/choice.rs
+++ b/src/choice.rs
@@ -143,12 +143,6 @@
         }
     }
 
-    fn note_flag(&mut self, build: Option<Build>) {
-        if let (Some(build), Some(watched)) = (build, self.watched) {
-            self.flags[usize::from(build == watched)] += f64::from(u8::from(build <= watched));
-        }
-    }
-
     /// The share of draws in which the first arm is best, even with a handicap.
     fn pi(rng: &mut Pcg64Mcg, first: &Arm, second: &Arm, handicap: f64) -> f64 {
         let posterior = |arm: &Arm| {
@@ -169,17 +163,9 @@
         wins / draws
     }
 
-    /// The trial's arms without the machine that costs it most: a single one may be sick.
-    fn rest(arms: &[Arm], trial: &[usize]) -> Arm {
-        let all = Arm::pool(arms, trial, None);
-        let harm = |i: &usize| arms[*i].count * (all.mean - arms[*i].mean);
-        let worst = trial.iter().copied().max_by(|a, b| harm(a).total_cmp(&harm(b)));
-        Arm::pool(arms, trial, worst.filter(|_| trial.len() > 1))
-    }
-
     /// π by one kind of arm, by all machines and without the worst.
     fn pi_by(rng: &mut Pcg64Mcg, arms: &[Arm], trial: &[usize], old: &Arm, handicap: f64) -> f64 {
-        let (all, rest) = (Arm::pool(arms, trial, None), Self::rest(arms, trial));
+        let (all, rest) = (Arm::pool(arms, trial, None), Arm::pool_but_worst(arms, trial));
         let rest = if rest.count < LEAST_OUTCOMES { all } else { rest };
         Self::pi(rng, old, &all, handicap).min(Self::pi(rng, old, &rest, handicap))
     }
@@ -194,7 +180,7 @@
     /// The chance of fewer own errors and flags, were the build as right as others: too rare for a Gaussian.
     fn faults(arms: &[Arm], trial: &[usize], earlier: &[usize]) -> f64 {
         let wrong = |arm: &Arm| arm.count * (1.0 - arm.mean);
-        let (new, old) = (Self::rest(arms, trial), Arm::pool(arms, earlier, None));
+        let (new, old) = (Arm::pool_but_worst(arms, trial), Arm::pool(arms, earlier, None));
         Self::rare(FAULT_MARGIN * new.count * (wrong(&old) + 1.0) / old.count.max(1.0), wrong(&new))
     }
 
@@ -789,9 +775,7 @@
         if let Some(news) = self.exposure.news.as_ref().filter(|_| due) {
             let (trial, earlier) = self.sides(false);
             let warmth = trial.iter().map(|i| self.fleet.warmth(*i, now)).fold(1.0, f64::min);
-            let answers = |i: &usize| self.fleet.servers.last_answer[*i] > now - RATE_SPAN;
-            let live = self.fleet.ready().filter(answers).count().max(1) as f64;
-            let load = self.fleet.arrivals.since(now - RATE_SPAN) as f64 / live;
+            let load = self.fleet.load_since(now - RATE_SPAN);
             let sight = Sight { warmth, trial, earlier, load, now };
             self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.desk.out);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,6 +101,14 @@
         sum
     }
 
+    /// The same without the one that costs most: a single machine may be sick.
+    pub fn pool_but_worst(arms: &[Arm], members: &[usize]) -> Arm {
+        let all = Arm::pool(arms, members, None);
+        let harm = |i: &usize| arms[*i].count * (all.mean - arms[*i].mean);
+        let worst = members.iter().copied().max_by(|a, b| harm(a).total_cmp(&harm(b)));
+        Arm::pool(arms, members, worst.filter(|_| members.len() > 1))
+    }
+
     /// Weighs down what was, and adds so many scores of this mean.
     pub fn follow(&mut self, keep: f64, count: f64, mean: f64) {
         self.fade(keep);
@@ -395,6 +403,12 @@
 }
 
 impl Fleet {
+    /// First tries that came since, for each instance that answered since.
+    pub fn load_since(&self, moment: Ms) -> f64 {
+        let answered = self.ready().filter(|i| self.servers.last_answer[*i] > moment).count();
+        self.arrivals.since(moment) as f64 / answered.max(1) as f64
+    }
+
     pub fn ready(&self) -> impl Iterator<Item = usize> + '_ {
         (0..self.servers.id.len()).filter(|i| self.servers.ready[*i])
     }
@@ -413,6 +427,13 @@
 }
 
 impl Judge {
+    /// Counts a flag of the watched build, or of an earlier one.
+    pub fn note_flag(&mut self, build: Option<Build>) {
+        if let (Some(build), Some(watched)) = (build, self.watched) {
+            self.flags[usize::from(build == watched)] += f64::from(u8::from(build <= watched));
+        }
+    }
+
     pub fn new(terms: VoteTerms, delta: f64, voters: f64, products: usize) -> Self {
         let base = vec![Arm::default(); products];
         let (tallied_before, time_before) = (base.clone(), base.clone());
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -236,6 +236,7 @@
     |sent: &Sent| if sent.build == 2 && sent.at - sent.started > 6000.0 { every(3, sent, Ending::Error) } else { well(sent) },
     true
 )]
+#[case::slows_all(slowed, true)]
 #[case::good(well, false)]
 #[case::both_fail(|sent: &Sent| every(10, sent, Ending::Error), false)]
 #[case::cold_machines(
@@ -255,6 +256,23 @@
     assert!(bad || host.voted(2, Verdict::On));
 }
 
+/// All are slower from the time at which the trial's instances start.
+fn slowed(sent: &Sent) -> (Ending, Ms) {
+    (Ending::Settled, if sent.at < 104_100.0 { 50.0 } else { 110.0 })
+}
+
+#[rstest]
+#[case::as_before(8, true)]
+#[case::four_times_as_much(2, false)]
+fn slower_under_more_load_is_no_builds_fault(#[case] every: usize, #[case] bad: bool) {
+    let mut host = Host::with(Terms::default(), 4, slowed);
+    host.serve(4000.0, 8);
+    host.start(&["a7", "b8", "b9"], 2);
+    host.stage(2, 1, Phase::OnTrial, 0.5);
+    host.serve(8000.0, every);
+    assert_eq!(host.voted(2, Verdict::Back), bad);
+}
+
 /// A gateway of many, with 20 instances of build 1 and two of build 2 on trial at this cap.
 fn one_of_many(seed: u64, cap: f64, behave: impl Fn(&Sent) -> (Ending, Ms) + 'static) -> Host {
     let mut host = Host::with(Terms { seed, gateways: 300, ..Terms::default() }, 20, behave);
