Control answers read whole or not at all; all that is kept by id, tenant, build, key ends

Seen on reading: the status alone decided what became of a vote and its connection stayed after a body that cannot be read; noise behind a JSON text was passed over (platform.rs cast, state; list.rs read); half a line, sent on and on, counted as a sign of life; indices of instances, tenants, exposure windows of builds and keys were kept for ever (state.rs, choice.rs). Change: status and words together, anything else is unsure and ends the connection; whole lines alone are signs of life; an index is used again, 512 tenants are kept, keys end with the next build and are not noted once no lower one is listed. Stories fail without each.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -34,7 +34,12 @@
         self.0.fetch_add(1, Relaxed);
     }
 
-    /// For figures that go up and down, or that note the most there was.
+    /// For figures that go up and down.
+    pub fn now(&self, value: usize) {
+        self.0.store(value as u64, Relaxed);
+    }
+
+    /// For figures that note the most there was.
     pub fn most(&self, value: usize) {
         self.0.fetch_max(value as u64, Relaxed);
     }
@@ -85,6 +90,11 @@
     votes_not_counted,
     votes_unsure,
     batches,
+    now_txns,
+    now_timers,
+    now_servers,
+    now_client_connections,
+    now_server_connections,
     broken_assertions,
 );
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -158,6 +158,9 @@
         for action in actions {
             self.act(action);
         }
+        COUNTERS.now_txns.now(self.open.len());
+        COUNTERS.now_timers.now(self.timers.len());
+        self.pool.count();
     }
 
     fn hear(&mut self, note: Note, events: &mut Vec<Event>) {
--- a/crates/gateway/src/net/clients.rs
+++ b/crates/gateway/src/net/clients.rs
@@ -130,12 +130,14 @@
         let seat = Rc::new(Seat { at, since, asked: Cell::new(false), leave: Notify::new() });
         let number = self.seated.replace(self.seated.get() + 1);
         self.seats.borrow_mut().insert(number, seat.clone());
-        COUNTERS.client_connections_most.most(self.seats.borrow().len());
+        COUNTERS.client_connections_most.most(self.open());
+        COUNTERS.now_client_connections.now(self.open());
         tokio::task::spawn_local(async move {
             if let Err(fault) = self.serve(&stream, &seat, room).await {
                 tracing::debug!(%fault, "clients: connection lost");
             }
             self.seats.borrow_mut().remove(&number);
+            COUNTERS.now_client_connections.now(self.open());
         });
     }
 
--- a/crates/gateway/src/net/list.rs
+++ b/crates/gateway/src/net/list.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// The list, or changes to it, with the address of each instance.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,6 +62,11 @@
 pub fn read(text: &[u8]) -> Result<List, String> {
     let mut reader = serde_json::Deserializer::from_slice(text);
     let page: Page = serde_path_to_error::deserialize(&mut reader).map_err(|fault| fault.to_string())?;
+    reader.end().map_err(|fault| fault.to_string())?;
+    let odd = |host: &Host| host.host.is_empty() || host.share < 0.0 || host.born_ms < 0.0;
+    if let Some(at) = page.hosts.iter().position(odd) {
+        return Err(format!("hosts[{at}]: no name, or share or born_ms below 0"));
+    }
     let entries = page.hosts.into_iter().map(|host| {
         let state = match host.health {
             Health::Up => Standing::Ready,
@@ -118,7 +123,7 @@
 ) -> Result<(), String> {
     let stream = call(addr, path).await.map_err(|fault| fault.to_string())?;
     let (mut reader, mut body, mut buf) = (Reader::default(), Body::default(), BytesMut::new());
-    let (mut answered, mut silence) = (false, LIST_CALL);
+    let (mut answered, mut silence, mut heard) = (false, LIST_CALL, Instant::now());
     loop {
         let part = reader.next(&mut buf).map_err(|fault| fault.to_string())?;
         match part {
@@ -128,6 +133,8 @@
             Some(Part::Body(piece)) => {
                 body.add(&piece).map_err(|fault| fault.to_string())?;
                 while let Some(line) = body.line() {
+                    // Only whole lines are signs of life: one that never ends is none.
+                    heard = Instant::now();
                     let list = match line.trim_ascii() {
                         // The call is answered all the same where nothing has changed.
                         b"" if answered => continue,
@@ -138,7 +145,7 @@
                     let _ = notes.send(Note::List { call: number, list: Some(list) }).await;
                 }
             }
-            None => match timeout(silence, read_some(&stream, &mut buf)).await {
+            None => match timeout_at(heard + silence, read_some(&stream, &mut buf)).await {
                 Err(_) => return Err("no sign of life".to_string()),
                 Ok(Ok(0)) => return Ok(()),
                 Ok(read) => drop(read.map_err(|fault| fault.to_string())?),
--- a/crates/gateway/src/net/platform.rs
+++ b/crates/gateway/src/net/platform.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
+use serde_json::{Map, Value};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -54,12 +55,8 @@
     RolledBack,
 }
 
-#[derive(Deserialize)]
-struct Line {
-    #[serde(rename = "type")]
-    kind: Option<String>,
-    object: Option<serde_json::Value>,
-}
+/// The highest age in ms of what is told: a year.
+const AGE_MOST: Ms = 365.0 * 86_400_000.0;
 
 /// What one line of the feed tells.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,9 +71,13 @@
 pub fn state(text: &[u8], answer: bool) -> Result<StageNews, String> {
     let mut reader = serde_json::Deserializer::from_slice(text);
     let state: State = serde_path_to_error::deserialize(&mut reader).map_err(|fault| fault.to_string())?;
+    reader.end().map_err(|fault| fault.to_string())?;
     if !(0.0..=1.0).contains(&state.max_weight) {
         return Err("maxWeight: not from 0 to 1".to_string());
     }
+    if !(0.0..=AGE_MOST).contains(&state.observed_ago_ms) {
+        return Err("observedAgoMs: no sensible age".to_string());
+    }
     Ok(StageNews {
         valid: true,
         unsure: false,
@@ -96,19 +97,18 @@
 
 /// Reads a line of the feed.
 pub fn told(line: &[u8]) -> Result<Told, String> {
-    let line: Line = serde_json::from_slice(line).map_err(|fault| fault.to_string())?;
-    let object = line.object.unwrap_or_default();
-    match line.kind.as_deref() {
+    let mut line: Map<String, Value> = serde_json::from_slice(line).map_err(|fault| fault.to_string())?;
+    let (kind, object) = (line.remove("type"), line.remove("object").unwrap_or_default());
+    match kind.as_ref().and_then(Value::as_str) {
         Some("ROLLOUT") => state(object.to_string().as_bytes(), false).map(Told::State),
         Some("SAMPLE") => {
             let tally: Tally = serde_json::from_value(object).map_err(|fault| fault.to_string())?;
-            let sound = tally.failed <= tally.count && tally.age.is_finite();
-            if sound {
-                Ok(Told::Tally(tally))
-            } else {
-                Err("SAMPLE: more failures than requests".to_string())
-            }
+            let aged = (0.0..=AGE_MOST).contains(&tally.age);
+            let sound = tally.failed <= tally.count && aged && tally.took.is_none_or(|took| took >= 0.0);
+            if sound { Ok(Told::Tally(tally)) } else { Err("SAMPLE: figures that cannot be".to_string()) }
         }
+        // A sign of life, or a kind that is not known here yet.
+        None if !line.is_empty() || !object.is_null() || kind.is_some() => Err("no type".to_string()),
         _ => Ok(Told::Nothing),
     }
 }
@@ -226,7 +226,8 @@
         loop {
             let Ok(place) = notes.reserve().await else { return Ok(()) };
             if let Some(line) = self.body.line() {
-                self.lines += 1;
+                // Only whole lines are signs of life: one that never ends is none.
+                (self.lines, self.heard) = (self.lines + 1, Instant::now());
                 match told(&line) {
                     Ok(Told::State(news)) => place.send(Note::Stage(news)),
                     Ok(Told::Tally(tally)) => place.send(Note::Tally(tally)),
@@ -246,7 +247,6 @@
                         Ok(0) => return Ok(()),
                         read => drop(read.map_err(|fault| fault.to_string())?),
                     }
-                    self.heard = Instant::now();
                 }
             }
         }
@@ -358,12 +358,29 @@
         }
     }
     let (status, last) = answer.ok_or("no answer")?;
-    if !last {
+    let outcome = outcome(status, &body.take())?;
+    // Only what was read whole leaves a connection in step.
+    if !last && buf.is_empty() && !unfit(&stream) {
         *open = Some((stream, addr, Instant::now()));
     }
-    match status {
-        200 => state(&body.take(), true).map(Outcome::Counted),
-        400 | 409 | 429 | 500 => Ok(Outcome::NotCounted(format!("status {status}"))),
-        _ => Err(format!("status {status}")),
+    Ok(outcome)
+}
+
+/// Reads the answer to a vote: only status and words together tell what was done.
+fn outcome(status: u16, body: &[u8]) -> Result<Outcome, String> {
+    #[derive(Deserialize)]
+    struct Refused {
+        error: String,
+    }
+    if status == 200 {
+        return state(body, true).map(Outcome::Counted);
+    }
+    let refused: Refused =
+        serde_json::from_slice(body).map_err(|fault| format!("status {status}: {fault}"))?;
+    match (status, refused.error.as_str()) {
+        (400, "SYNTAX") | (409, "STALE") | (429, "BUSY") | (500, "FAILED") => {
+            Ok(Outcome::NotCounted(format!("status {status}")))
+        }
+        _ => Err(format!("status {status} with other words")),
     }
 }
--- a/crates/gateway/src/net/servers.rs
+++ b/crates/gateway/src/net/servers.rs
@@ -135,6 +135,12 @@
         spot.waiting.into_iter().map(|job| job.errand).collect()
     }
 
+    /// Notes what is held now.
+    pub fn count(&self) {
+        COUNTERS.now_servers.now(self.spots.len());
+        COUNTERS.now_server_connections.now(self.open);
+    }
+
     pub fn listed(&self) -> Vec<String> {
         self.spots.keys().cloned().collect()
     }
--- a/crates/gateway/src/proto/http.rs
+++ b/crates/gateway/src/proto/http.rs
@@ -6,7 +6,7 @@
 const LONGEST_HEAD: usize = 16 * 1024;
 const LONGEST_CHUNK_LINE: usize = 256;
 /// The longest body that is taken whole, and the longest line of a stream: some thousand servers.
-const LONGEST_BODY: usize = 4 * 1024 * 1024;
+const LONGEST_BODY: usize = 1024 * 1024;
 
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum Broken {
--- a/crates/gateway/tests/parsers.rs
+++ b/crates/gateway/tests/parsers.rs
@@ -1,6 +1,7 @@
 //! Parsers at every split point, with malformed, oversized and truncated input.
 
 use bytes::{Bytes, BytesMut};
+use latchhaven_gateway::net::{list, platform};
 use latchhaven_gateway::proto::http::{self, Body, Part, Reader};
 use latchhaven_gateway::proto::pg::{self, Asked, Backend, Broken, Frontend, Told};
 use rstest::rstest;
@@ -308,3 +309,35 @@
     assert!((0..100).any(|_| body.add(&[b'x'; 65536]).is_err()));
     assert_eq!(http::get("h", "/p"), "GET /p HTTP/1.1\r\nHost: h\r\nAccept: application/json\r\n\r\n");
 }
+
+#[rstest]
+#[case::noise("\u{1}{}")]
+#[case::a_part(r#"{"type":"ROLLOUT","object":{"version":4"#)]
+#[case::no_object(r#"{"type":"ROLLOUT"}"#)]
+#[case::no_type(r#"{"object":{"version":42}}"#)]
+#[case::another_cap(
+    r#"{"type":"ROLLOUT","object":{"version":4,"step":1,"status":"COMPLETE","maxWeight":28}}"#
+)]
+#[case::not_yet(
+    r#"{"type":"ROLLOUT","object":{"version":4,"step":1,"status":"COMPLETE","maxWeight":1,"observedAgoMs":-5}}"#
+)]
+#[case::more_failures(
+    r#"{"type":"SAMPLE","object":{"version":4,"kind":"a","requests":1,"failures":2,"avgMs":1}}"#
+)]
+#[case::negative(
+    r#"{"type":"SAMPLE","object":{"version":4,"kind":"a","requests":1,"failures":0,"avgMs":-1}}"#
+)]
+#[case::noise_behind("{}x")]
+fn a_spoilt_line_of_the_feed_tells_nothing(#[case] line: &str) {
+    assert!(platform::told(line.as_bytes()).is_err());
+}
+
+#[rstest]
+#[case::noise_behind(r#"{"seq":7,"whole":true,"hosts":[]}x"#)]
+#[case::no_name(r#"{"seq":7,"whole":true,"hosts":[{"host":"","dial":"127.0.0.1:5","health":"up"}]}"#)]
+#[case::below_nothing(
+    r#"{"seq":7,"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:5","health":"up","share":-1}]}"#
+)]
+fn a_spoilt_list_tells_nothing(#[case] text: &str) {
+    assert!(list::read(text.as_bytes()).is_err());
+}
--- a/crates/gateway/tests/stories.rs
+++ b/crates/gateway/tests/stories.rs
@@ -637,6 +637,9 @@
 #[case::syntax(Says::Bytes(answer(400, r#"{"error":"SYNTAX"}"#)), "votes_not_counted")]
 #[case::cut_off(Says::Last("HTTP/1.1 200 OK\r\nContent-Le".to_string()), "votes_unsure")]
 #[case::unreadable(Says::Bytes(answer(200, "{}")), "votes_unsure")]
+#[case::noise_behind(Says::Bytes(answer(200, &(state(2, 1, "IN_PROGRESS", 1.0).to_string() + "x"))), "votes_unsure")]
+#[case::words_cut_off(Says::Bytes(answer(429, "{\"error\":\"BU")), "votes_unsure")]
+#[case::other_words(Says::Bytes(answer(409, "{\"error\":\"BUSY\"}")), "votes_unsure")]
 #[case::silent(Says::Nothing, "votes_unsure")]
 fn each_way_a_vote_ends_is_told_as_what_it_is(#[case] says: Says, #[case] counter: &str) {
     let (earlier, trial) = (Server::start(Does::Serves), Server::start(Does::Serves));
@@ -947,3 +950,35 @@
     assert_eq!(outcome(&busy.answer()), Ok("a2".to_string()));
     assert_eq!(gateway.ended(), Some(0));
 }
+
+#[test]
+fn a_line_that_never_ends_is_no_sign_of_life() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::watching(&[&server], |_| ());
+    until("the feed is open", || gateway.platform.count("GET /v1/feed") == 1);
+    until("both are opened anew", || {
+        gateway.platform.write(&chunk("x"));
+        gateway.list.write(&chunk("x"));
+        thread::sleep(Duration::from_millis(100));
+        gateway.platform.count("GET /v1/feed") >= 2 && gateway.list.count("watch") >= 2
+    });
+}
+
+#[test]
+fn many_lives_leave_nothing_behind() {
+    let server = Server::start(Does::Serves);
+    let gateway = Gateway::watching(&[&server], |_| ());
+    for n in 0..300 {
+        let id = format!("life{n}");
+        gateway.list.tell(&list(6 + 2 * n, false, &[host(&id, server.addr, "up", 2 + n as u32)]));
+        gateway.list.tell(&list(7 + 2 * n, false, &[host(&id, server.addr, "removed", 2 + n as u32)]));
+        let mut client = gateway.client();
+        client.ask(&select(&format!("a{n}"), "look", 900).replace("acme", &format!("t{n}")));
+    }
+    until("all are told", || gateway.counter("list_changes") >= 600);
+    until("all is over", || {
+        gateway.counter("now_client_connections") == 0 && gateway.counter("now_timers") < 5
+    });
+    assert_eq!((gateway.counter("now_txns"), gateway.counter("now_servers")), (0, 1));
+    assert!(gateway.counter("now_server_connections") <= 1);
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -96,10 +96,10 @@
     }
 
     /// A key that the new build has answered goes to no earlier one while the new one stands.
-    fn note_answer(&mut self, key: &Option<String>, build: Build) {
+    fn note_answer(&mut self, key: &Option<String>, build: Build, lowest: Build) {
         let over = |news: &StageNews| matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
         let stands = |news: &StageNews| build > news.build || (build == news.build && !over(news));
-        let binds = self.terms.no_return && self.news.as_ref().is_none_or(stands);
+        let binds = self.terms.no_return && build > lowest && self.news.as_ref().is_none_or(stands);
         if let Some(key) = key.as_ref().filter(|_| binds) {
             let bound = self.bound.entry(key.clone()).or_insert(build);
             *bound = build.max(*bound);
@@ -108,7 +108,7 @@
 
     fn hear(&mut self, news: StageNews) {
         let stands = matches!(news.phase, Phase::OnTrial | Phase::Released);
-        self.bound.retain(|_, build| stands || *build != news.build);
+        self.bound.retain(|_, build| *build > news.build || (*build == news.build && stands));
         self.news = Some(news);
     }
 }
@@ -355,8 +355,8 @@
         let whole = matches!(kind, ListKind::Whole | ListKind::Cached);
         self.servers.ready.iter_mut().for_each(|ready| *ready &= !whole);
         for entry in entries {
+            let i = self.slot(entry);
             let s = &mut self.servers;
-            let i = *self.index.entry(entry.instance.clone()).or_insert_with(|| s.add(entry));
             // An id may return with another build or after a restart: nothing learnt of it counts.
             if s.life[i] == 0 || s.build[i] != entry.build || entry.since > s.since[i] + 1.0 {
                 // A fresh instance gets little at once; the cap grows with its answers.
@@ -366,6 +366,7 @@
             }
             s.relist(i, entry);
         }
+        whole.then(|| self.leave_out(entries));
         self.lowest = self.ready().map(|i| self.servers.build[i]).min().unwrap_or(0);
     }
 
@@ -565,7 +566,7 @@
         if ending == Ending::Settled {
             let typical = &mut self.desk.typical[txn.product];
             *typical += NEWEST * (took - *typical);
-            self.exposure.note_answer(&txn.key, sub.build);
+            self.exposure.note_answer(&txn.key, sub.build, self.fleet.lowest);
         }
         if closed {
             // Half the SLA time is good service; what barely makes it tells of queues that leave no room.
@@ -635,8 +636,7 @@
         // What is late helps nobody: a limit lets servers drop it unbegun.
         let limit = Some((txn.in_time - now).max(MARGIN));
         self.desk.out.push(Action::Submit { id, instance: s.id[i].clone(), limit });
-        let sends = self.exposure.sends.entry((sub.build, self.exposure.lane(txn.product))).or_default();
-        sends.note(now, 2.0 * self.exposure.terms.window);
+        self.exposure.note_send(sub.build, txn.product, now, 2.0 * self.exposure.terms.window);
         self.desk.txns.entry(id).and_modify(|txn| txn.submissions.push(sub));
         true
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,10 @@
     Action, Build, ColdStart, Ending, ExposureTerms, ListTerms, Listing, Ms, StageNews, Standing, TxnId,
     Verdict, VoteTerms,
 };
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Tenants that are kept at most: a bound of memory, far above those that matter at once.
+const TENANTS_KEPT: usize = 512;
 
 /// One submission of a txn.
 #[derive(Clone, Debug)]
@@ -156,6 +159,8 @@
     pub weight: Vec<f64>,
     pub since: Vec<Ms>,
     pub ready: Vec<bool>,
+    /// It left the list: its index is free for another once nothing is out there.
+    pub gone: Vec<bool>,
     /// Counts the lives of an index: ids return with other builds and after restarts.
     pub life: Vec<u32>,
     pub in_flight: Vec<u32>,
@@ -187,6 +192,7 @@
         self.weight.push(1.0);
         self.since.push(entry.since);
         self.ready.push(false);
+        self.gone.push(false);
         self.life.push(0);
         self.in_flight.push(0);
         self.in_flight_cap.push(0.0);
@@ -211,6 +217,16 @@
         self.zone[i].clone_from(&entry.zone);
         self.cell[i] = entry.cell;
         self.ready[i] = entry.state == Standing::Ready;
+        self.gone[i] = entry.state == Standing::Gone;
+    }
+
+    /// An index that nothing refers to any more, if there is one; the life there ends.
+    fn free(&mut self, entry: &Listing) -> Option<usize> {
+        let i = (0..self.id.len()).find(|i| self.gone[*i] && self.in_flight[*i] == 0)?;
+        (self.id[i], self.since[i]) = (entry.instance.clone(), entry.since);
+        // No build has this number: whatever comes begins a life of its own.
+        self.build[i] = Build::MAX;
+        Some(i)
     }
 
     /// This gateway's txns in flight per instance.
@@ -342,6 +358,12 @@
 
     /// How all txns are served, then those of one tenant.
     pub fn services(&mut self, tenant: &Option<String>) -> [&mut Service; 2] {
+        // Names come from clients: those not heard of for longest are forgotten.
+        if self.service.len() >= TENANTS_KEPT && !self.service.contains_key(tenant) {
+            let oldest = self.service.iter().min_by(|a, b| a.1.at.total_cmp(&b.1.at));
+            let oldest = oldest.map(|(name, _)| name.clone());
+            oldest.and_then(|name| self.service.remove(&name));
+        }
         [&mut self.all_service, self.service.entry(tenant.clone()).or_default()]
     }
 }
@@ -403,6 +425,24 @@
 }
 
 impl Fleet {
+    /// The index of an instance; ids come and go, indices are used again.
+    pub fn slot(&mut self, entry: &Listing) -> usize {
+        if let Some(i) = self.index.get(&entry.instance) {
+            return *i;
+        }
+        let i = self.servers.free(entry).unwrap_or_else(|| self.servers.add(entry));
+        self.index.retain(|_, taken| *taken != i);
+        self.index.insert(entry.instance.clone(), i);
+        i
+    }
+
+    /// Those that a whole list leaves out are gone.
+    pub fn leave_out(&mut self, entries: &[Listing]) {
+        let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.instance.as_str()).collect();
+        let left = self.index.iter().filter(|(id, _)| !listed.contains(id.as_str()));
+        left.for_each(|(_, i)| self.servers.gone[*i] = true);
+    }
+
     /// First tries that came since, for each instance that answered since.
     pub fn load_since(&self, moment: Ms) -> f64 {
         let answered = self.ready().filter(|i| self.servers.last_answer[*i] > moment).count();
@@ -420,6 +460,15 @@
         if self.terms.by_product { product } else { 0 }
     }
 
+    /// Notes a submission; builds that got none for as long are forgotten.
+    pub fn note_send(&mut self, build: Build, product: usize, now: Ms, keep: Ms) {
+        let lane = self.lane(product);
+        if !self.sends.contains_key(&(build, lane)) {
+            self.sends.retain(|_, sends| sends.since(now - keep) > 0);
+        }
+        self.sends.entry((build, lane)).or_default().note(now, keep);
+    }
+
     pub fn new(terms: ExposureTerms, products: usize) -> Self {
         let (arrivals, sends, bound) = (vec![Times::default(); products], BTreeMap::new(), BTreeMap::new());
         Exposure { terms, news: None, arrivals, sends, bound }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -4,6 +4,7 @@
 
 use host::{Host, Sent, Terms, product};
 use latchhaven::api::*;
+use latchhaven::state::{Desk, Exposure, Fleet};
 use rstest::rstest;
 
 fn well(_: &Sent) -> (Ending, Ms) {
@@ -584,3 +585,29 @@
     assert!(matches!(host.answers[&unknown][..], [(_, Action::Void { .. })]));
     assert!(host.settled.contains_key(&id));
 }
+
+#[test]
+fn many_instances_tenants_and_builds_leave_nothing_behind() {
+    let (mut fleet, mut desk) = (Fleet::default(), Desk::new(vec![50.0], 0.0));
+    let mut exposure = Exposure::new(ExposureTerms::default(), 1);
+    let mut listing = Host::new(Terms::default()).list("a", 1, Standing::Ready, 0.0);
+    let stays = fleet.slot(&listing);
+    for n in 0..5000 {
+        (listing.instance, listing.build, listing.state) = (format!("s{n}"), n, Standing::Ready);
+        let i = fleet.slot(&listing);
+        assert!(i != stays && fleet.servers.build[i] != fleet.servers.build[stays]);
+        fleet.servers.begin_life(i, 2.0);
+        fleet.servers.relist(i, &listing);
+        listing.state = Standing::Gone;
+        fleet.servers.relist(i, &listing);
+        desk.services(&Some(format!("t{n}")))[1].at = f64::from(n);
+        exposure.note_send(n, 0, 100.0 * f64::from(n), 1000.0);
+    }
+    assert_eq!((fleet.servers.id.len(), fleet.index.len()), (2, 2));
+    assert!(desk.service.len() <= 512 && exposure.sends.len() <= 12);
+    // One that still carries a txn keeps its index.
+    let carries = fleet.slot(&listing);
+    fleet.servers.in_flight[carries] = 1;
+    listing.instance = "another".to_string();
+    assert_ne!(fleet.slot(&listing), carries);
+}
