--- a/src/choice.rs
+++ b/src/choice.rs
@@ -370,13 +370,6 @@
         self.lowest = self.ready().map(|i| self.servers.build[i]).min().unwrap_or(0);
     }
 
-    /// The least share of its capacity that an instance has by now.
-    fn warmth(&self, i: usize, now: Ms) -> f64 {
-        let since = self.servers.since[i];
-        let way = if since <= 0.0 { 1.0 } else { ((now - since) / self.cold.warm_up).clamp(0.0, 1.0) };
-        self.cold.from + (1.0 - self.cold.from) * way
-    }
-
     /// Adds to what each cold instance may get: its part of this gateway's own rate per unit of capacity.
     /// Summed over all gateways, however uneven, that is a fixed share of the budget.
     fn fill_cold_parts(&mut self, now: Ms) {
@@ -412,9 +405,12 @@
             (s.last_answer[i], s.silent[i]) = (now, 0);
             s.errors[i] += NEWEST * (f64::from(u8::from(error)) - s.errors[i]);
         }
-        s.silent[i] += u32::from(ending == Ending::NoAnswer);
+        // A single connection may be lost or refused where the server is well.
+        let cut = matches!(ending, Ending::NoAnswer | Ending::NoConnection | Ending::ConnectionLost);
+        s.silent[i] += u32::from(cut);
+        let mute = s.silent[i] >= SILENT;
         match ending {
-            Ending::NoAnswer if s.silent[i] >= SILENT => self.leave_aside(i, "silent", now, out),
+            Ending::NoAnswer if mute => self.leave_aside(i, "silent", now, out),
             // Answers in good time open the instance further, late ones and refusals close it.
             Ending::Settled | Ending::TurnedAway | Ending::NoAnswer => {
                 let step = CAP_GAIN * (1.0 - if settled { queue.min(HEAVY) } else { HEAVY });
@@ -422,8 +418,8 @@
                 let most = 2.0 * f64::from(s.in_flight[i] + 1).max(s.in_flight_cap[i] / 2.0);
                 s.in_flight_cap[i] = (s.in_flight_cap[i] + step).clamp(1.0, most);
             }
-            Ending::NoConnection => self.leave_aside(i, "no connection", now, out),
-            Ending::ConnectionLost => self.leave_aside(i, "connection lost", now, out),
+            Ending::NoConnection if mute => self.leave_aside(i, "no connection", now, out),
+            Ending::ConnectionLost if mute => self.leave_aside(i, "connection lost", now, out),
             Ending::Error if s.errors[i] > SICK_ERRORS => self.leave_aside(i, "errors", now, out),
             _ => {}
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -425,6 +425,13 @@
 }
 
 impl Fleet {
+    /// The least share of its capacity that an instance has by now.
+    pub fn warmth(&self, i: usize, now: Ms) -> f64 {
+        let since = self.servers.since[i];
+        let way = if since <= 0.0 { 1.0 } else { ((now - since) / self.cold.warm_up).clamp(0.0, 1.0) };
+        self.cold.from + (1.0 - self.cold.from) * way
+    }
+
     /// The index of an instance; ids come and go, indices are used again.
     pub fn slot(&mut self, entry: &Listing) -> usize {
         if let Some(i) = self.index.get(&entry.instance) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -611,3 +611,18 @@
     listing.instance = "another".to_string();
     assert_ne!(fleet.slot(&listing), carries);
 }
+
+#[rstest]
+#[case::now_and_then(|sent: &Sent| sent.id.is_multiple_of(20) && sent.n == 0, false)]
+#[case::one_after_another(|sent: &Sent| sent.instance == "a0", true)]
+fn a_server_is_left_aside_for_two_lost_connections_in_a_row_and_not_for_one(
+    #[case] loses: fn(&Sent) -> bool, #[case] aside: bool,
+    #[values(Ending::ConnectionLost, Ending::NoConnection)] how: Ending,
+) {
+    let behave = move |sent: &Sent| if loses(sent) { (how, 5.0) } else { well(sent) };
+    let mut host = Host::with(Terms::default(), 4, behave);
+    host.serve(3000.0, 5);
+    let told = |action: &Action| matches!(action, Action::Log(line) if line.contains("aside"));
+    assert_eq!(host.all.iter().any(|(_, action)| told(action)), aside);
+    assert!(host.settled.len() > 50);
+}
