Own errors compared with the time before the build where no earlier instance answers

Lines: Judge::faults had nothing to compare with once the earlier instances drain, and then allowed any share.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -178,9 +178,11 @@
     }
 
     /// The chance of fewer own errors and flags, were the build as right as others: too rare for a Gaussian.
-    fn faults(arms: &[Arm], trial: &[usize], earlier: &[usize]) -> f64 {
+    /// Where no earlier instance answers any more, the time before the build came compares.
+    fn faults(arms: &[Arm], trial: &[usize], earlier: &[usize], before: Arm) -> f64 {
         let wrong = |arm: &Arm| arm.count * (1.0 - arm.mean);
         let (new, old) = (Arm::pool_but_worst(arms, trial), Arm::pool(arms, earlier, None));
+        let old = if earlier.is_empty() { before } else { old };
         Self::rare(FAULT_MARGIN * new.count * (wrong(&old) + 1.0) / old.count.max(1.0), wrong(&new))
     }
 
@@ -226,7 +228,8 @@
                 self.watched = trial;
                 (self.flags, self.answers, self.weighed) = Default::default();
             }
-            self.before = Arm::pool(&s.arms[PACE], &(0..s.id.len()).collect::<Vec<_>>(), None);
+            let everyone: Vec<usize> = (0..s.id.len()).collect();
+            self.before = [SCORE, PACE, RIGHT].map(|kind| Arm::pool(&s.arms[kind], &everyone, None));
             self.load_before = load;
             s.arms.iter_mut().for_each(|arms| arms.fill(Arm::default()));
         }
@@ -254,15 +257,15 @@
         let mut found = vec![(0.5, of_own, "nothing")];
         let old = |kind: usize| Arm::pool(&s.arms[kind], earlier, None);
         let count = Arm::pool(&s.arms[SCORE], trial, None).count;
-        let faults = Self::faults(&s.arms[RIGHT], trial, earlier);
+        let faults = Self::faults(&s.arms[RIGHT], trial, earlier, self.before[RIGHT]);
         found.extend(on_trial.then_some((faults, of_own, "own errors and flags")));
         // A build may slow all servers, old and new: then only the time before it came compares.
         let all = Arm::pool(&s.arms[PACE], if earlier.is_empty() { trial } else { earlier }, None);
         // More txns for each that answers, by a burst or where some are lost, slow them all as well.
         let alike = on_trial && !trial.is_empty() && sight.load <= LOADED * self.load_before;
-        let slower = Self::pi(rng, &self.before, &all, PACE_MARGIN);
+        let slower = Self::pi(rng, &self.before[PACE], &all, PACE_MARGIN);
         found.extend(alike.then_some((slower, of_own, "pace of all")));
-        self.dragged = alike && Self::pi(rng, &self.before, &all, PACE_MARGIN / 2.0) > DOUBT;
+        self.dragged = alike && Self::pi(rng, &self.before[PACE], &all, PACE_MARGIN / 2.0) > DOUBT;
         if on_trial && !full {
             let score = Self::pi_by(rng, &s.arms[SCORE], trial, &old(SCORE), 0.0);
             found.push((score, of_own, "score"));
--- a/src/state.rs
+++ b/src/state.rs
@@ -296,8 +296,8 @@
     pub stands: bool,
     /// The chance that this gateway is one of those that vote.
     pub voters: f64,
-    /// The pace of all instances as the build came on trial; they are clearly slower since.
-    pub before: Arm,
+    /// The arms of all instances as the build came on trial, by kind; these are clearly slower since.
+    pub before: [Arm; 3],
     pub load_before: f64,
     pub dragged: bool,
     /// Mean log pace per product, while no build was on trial.
