--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -29,6 +29,9 @@
 /// connections at once, so that all together fit a small memory.
 pub const HELD: usize = 16 * 1024;
 pub const LARGE_AT_ONCE: usize = 24;
+/// An answer longer than the first is read on so many connections at once, and counted until its client has it.
+pub const LARGE_ANSWER: usize = 64 * 1024;
+pub const LARGE_ANSWERS_AT_ONCE: usize = 12;
 /// A client gets so long to take an answer, and to finish what it has begun to write.
 pub const CLIENT_STALL: Duration = Duration::from_secs(5);
 pub const CLIENT_HALF: Duration = Duration::from_secs(2);
--- a/crates/gateway/src/net/servers.rs
+++ b/crates/gateway/src/net/servers.rs
@@ -1,6 +1,6 @@
 //! Connections to servers: one task each, one txn at a time on each, and the pool that the gateway holds.
 
-use super::{IDLE_SHARE, Note, SETTLE, read_some, unfit, write_all};
+use super::{IDLE_SHARE, LARGE_ANSWER, LARGE_ANSWERS_AT_ONCE, Note, SETTLE, read_some, unfit, write_all};
 use crate::counters::COUNTERS;
 use crate::must;
 use crate::proto::pg::{self, Backend, Statement, Told};
@@ -12,10 +12,11 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::select;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// What is sent to a server.
@@ -91,13 +92,16 @@
     most: usize,
     lives: u64,
     connections: Connections,
+    /// Who may hold a large answer.
+    large: Arc<Semaphore>,
     notes: mpsc::Sender<Note>,
 }
 
 impl Pool {
     pub fn new(most: usize, connections: Connections, notes: mpsc::Sender<Note>) -> Self {
         let (spots, carrying) = (BTreeMap::new(), BTreeMap::new());
-        Pool { spots, carrying, open: 0, most, lives: 0, connections, notes }
+        let large = Arc::new(Semaphore::new(LARGE_ANSWERS_AT_ONCE));
+        Pool { spots, carrying, open: 0, most, lives: 0, connections, large, notes }
     }
 
     /// Takes over what the list says of an instance; returns what had not been written to it and has to be
@@ -187,7 +191,8 @@
             pieces: RefCell::new(None),
             wake: Notify::new(),
         });
-        tokio::task::spawn_local(run(link, spot.addr, self.connections.clone(), self.notes.clone()));
+        let (connections, large) = (self.connections.clone(), self.large.clone());
+        tokio::task::spawn_local(run(link, spot.addr, connections, large, self.notes.clone()));
         true
     }
 
@@ -296,7 +301,10 @@
 }
 
 /// Drives one connection from its opening to its end.
-async fn run(link: Rc<Link>, addr: SocketAddr, connections: Connections, notes: mpsc::Sender<Note>) {
+async fn run(
+    link: Rc<Link>, addr: SocketAddr, connections: Connections, large: Arc<Semaphore>,
+    notes: mpsc::Sender<Note>,
+) {
     let (mut backend, mut buf) = (Backend::default(), BytesMut::new());
     let within = Duration::from_secs_f64(connections.dial_within / 1000.0);
     let up = select! {
@@ -317,7 +325,7 @@
         let until = Instant::now() + Duration::from_secs_f64(idle);
         let Some(pieces) = next_pieces(&link, stream, until, &mut backend, &mut buf).await else { break };
         let sent = select! {
-            sent = converse(&link, stream, &pieces, &mut backend, &mut buf, connections.reports) => sent,
+            sent = converse(&link, stream, &pieces, &mut backend, &mut buf, connections.reports, &large) => sent,
             () = link.closed() => break,
         };
         let (ending, value, load, next) = sent;
@@ -372,6 +380,18 @@
     None
 }
 
+/// A row that counts among the large ones for as long as it is held.
+struct Large {
+    row: Bytes,
+    _place: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for Large {
+    fn as_ref(&self) -> &[u8] {
+        &self.row
+    }
+}
+
 /// What follows an answer.
 #[derive(PartialEq)]
 enum Next {
@@ -384,7 +404,7 @@
 /// Sends one query and reads its answer: the ending, the value, the report, and what follows.
 async fn converse(
     link: &Link, stream: &TcpStream, pieces: &[Bytes], backend: &mut Backend, buf: &mut BytesMut,
-    reports: Reports,
+    reports: Reports, large: &Arc<Semaphore>,
 ) -> (Ending, Option<[Bytes; 3]>, Load, Next) {
     // Handed over in the moment in which something came that nobody asked for.
     if !buf.is_empty() || unfit(stream) {
@@ -395,10 +415,16 @@
         return (Ending::NoConnection, None, Vec::new(), Next::Over);
     }
     link.written.set(true);
-    let (mut ended, mut load) = (None, Vec::new());
+    let (mut ended, mut load, mut place) = (None, Vec::new(), None);
     loop {
         match backend.next(buf) {
-            Ok(Some(Told::Value(value))) if ended.is_none() => ended = Some((Ending::Settled, Some(value))),
+            Ok(Some(Told::Value([described, row, complete]))) if ended.is_none() => {
+                let row = match place.take() {
+                    Some(place) => Bytes::from_owner(Large { row, _place: place }),
+                    None => row,
+                };
+                ended = Some((Ending::Settled, Some([described, row, complete])));
+            }
             Ok(Some(Told::Failed(code))) if ended.is_none() => {
                 let never = [pg::TOO_MANY, pg::STARTING].contains(&code.as_str());
                 tracing::debug!(instance = link.instance, code, "error of a server");
@@ -418,6 +444,9 @@
                 if let Some((ending, value)) = ended {
                     return (ending, value, load, Next::Settling);
                 }
+                if place.is_none() && buf.len() > LARGE_ANSWER {
+                    place = large.clone().acquire_owned().await.ok();
+                }
                 if !matches!(read_some(stream, buf).await, Ok(count) if count > 0) {
                     return (Ending::ConnectionLost, None, load, Next::Over);
                 }
--- a/crates/gateway/src/proto/pg.rs
+++ b/crates/gateway/src/proto/pg.rs
@@ -6,6 +6,8 @@
 
 /// The longest message: 64 KiB of value in hex, and the statement round it.
 const LONGEST: usize = 2 * 65536 + 8192;
+/// The longest row of a server: values of 400,000 bytes were met, and what is said to be far longer is noise.
+const LONGEST_ROW: usize = 512 * 1024;
 /// The longest message of a server that is no row.
 const LONGEST_SMALL: usize = 8192;
 /// Figures of a load report are below this.
@@ -85,7 +87,7 @@
             if !b"QXSPBDECFHdcfp".contains(&kind) {
                 return Err(Broken::Type(kind));
             }
-            let Some((kind, mut body, _)) = framed(buf)? else { return Ok(None) };
+            let Some((kind, mut body, _)) = framed(buf, LONGEST)? else { return Ok(None) };
             match kind {
                 b'X' => return Ok(Some(Asked::Terminate)),
                 b'S' => {
@@ -334,7 +336,7 @@
             let (least, most) = match kind {
                 b'R' | b'K' if !self.started => (8, LONGEST_SMALL),
                 b'T' => (4 + 2 + 1 + COLUMN, LONGEST_SMALL),
-                b'D' => (4 + 6, LONGEST),
+                b'D' => (4 + 6, LONGEST_ROW),
                 b'C' | b'E' | b'N' | b'S' => (5, LONGEST_SMALL),
                 b'Z' => (5, 5),
                 _ => return Err(Broken::Type(kind)),
@@ -346,7 +348,7 @@
             if kind == b'D' && buf.get(5..11).is_some_and(|head| !fits(head, length.unwrap_or(0))) {
                 return Err(Broken::Form("not one row of one column"));
             }
-            let Some((kind, body, raw)) = framed(buf)? else { return Ok(None) };
+            let Some((kind, body, raw)) = framed(buf, LONGEST_ROW)? else { return Ok(None) };
             match kind {
                 b'R' if body[..] != [0; 4] => return Err(Broken::Form("a password is asked for")),
                 b'T' if !describes(&body) || self.described.replace(raw.clone()).is_some() => {
@@ -423,10 +425,10 @@
 }
 
 /// Splits one typed message off the front: its type, its body, and all of it.
-fn framed(buf: &mut BytesMut) -> Result<Option<(u8, Bytes, Bytes)>, Broken> {
+fn framed(buf: &mut BytesMut, longest: usize) -> Result<Option<(u8, Bytes, Bytes)>, Broken> {
     let Some(length) = buf.get(1..5).and_then(|at| at.first_chunk::<4>()) else { return Ok(None) };
     let length = u32::from_be_bytes(*length) as usize;
-    if !(4..=LONGEST).contains(&length) {
+    if !(4..=longest).contains(&length) {
         return Err(Broken::Length(length));
     }
     if buf.len() < 1 + length {
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -93,6 +93,8 @@
     Babbles,
     /// Serves and writes the row once more, so many ms later, before anything else is asked.
     Twice(u64),
+    /// Serves a value of so many bytes.
+    Large(usize),
     /// A code that says that it never ran, in an error that cannot be read whole.
     GarblesCode,
     /// A row that never ends.
@@ -171,6 +173,7 @@
                         }
                     }
                 }
+                Does::Large(bytes) => [&row(&vec![b'v'; bytes]), READY].concat(),
                 Does::GarblesCode => [&message(b'E', b"SERROR\0C53300\0\xff\xfe"), READY].concat(),
                 Does::Fails(code) => [&error(code), READY].concat(),
                 Does::EndsWith(code) => error(code),
--- a/crates/gateway/tests/stories.rs
+++ b/crates/gateway/tests/stories.rs
@@ -147,6 +147,26 @@
     assert_eq!((server.queries().len(), gateway.counter("sub_settled")), (5, 5));
 }
 
+#[test]
+fn large_values_pass_though_only_some_are_held_at_once() {
+    let server = Server::start(Does::Large(400_000));
+    let gateway = Gateway::start_with(&[&server], patient);
+    let mut clients: Vec<Client> = (0..16).map(|_| gateway.client()).collect();
+    for round in 0..2 {
+        let asks = |(n, client): (usize, &mut Client)| {
+            client.send(&query(&select(&format!("a{round}x{n}"), "look", 15_000)));
+        };
+        clients.iter_mut().enumerate().for_each(asks);
+        for client in &mut clients {
+            assert_eq!(outcome(&client.answer()).unwrap().len(), 400_000);
+        }
+    }
+    assert_eq!((gateway.counter("server_spoilt"), gateway.counter("submissions")), (0, 32));
+    // One that is said to be far larger is no value, and nobody waits for it.
+    server.set(Does::Large(600_000));
+    assert_eq!(outcome(&clients[0].ask(&insert("b", "pay", 15_000))), Err("XX000".to_string()));
+}
+
 #[test]
 fn what_comes_unasked_as_a_txn_is_handed_over_is_not_its_answer() {
     alone(async {
