--- a/src/state.rs
+++ b/src/state.rs
@@ -220,6 +220,12 @@
         self.gone[i] = entry.state == Standing::Gone;
     }
 
+    /// The arms of all instances as one, by kind.
+    pub fn pooled(&self) -> [Arm; 3] {
+        let everyone: Vec<usize> = (0..self.id.len()).collect();
+        [SCORE, PACE, RIGHT].map(|kind| Arm::pool(&self.arms[kind], &everyone, None))
+    }
+
     /// An index that nothing refers to any more, if there is one; the life there ends.
     fn free(&mut self, entry: &Listing) -> Option<usize> {
         let i = (0..self.id.len()).find(|i| self.gone[*i] && self.in_flight[*i] == 0)?;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -626,3 +626,27 @@
     assert_eq!(host.all.iter().any(|(_, action)| told(action)), aside);
     assert!(host.settled.len() > 50);
 }
+
+#[rstest]
+#[case::fails(12, true)]
+#[case::fails_no_more_than_before(1000, false)]
+fn once_the_earlier_instances_are_gone_the_time_before_the_build_tells(
+    #[case] one_in: u32, #[case] bad: bool,
+) {
+    // Another trouble, over long before the build comes, is not what it is compared with.
+    let behave = move |sent: &Sent| match sent.build {
+        1 if sent.at < 101_000.0 => every(2, sent, Ending::Error),
+        2 if sent.at > 117_000.0 => every(one_in, sent, Ending::Error),
+        _ => well(sent),
+    };
+    let mut host = Host::with(Terms::default(), 4, behave);
+    host.stage(1, 2, Phase::Released, 1.0);
+    host.serve(12_000.0, 2);
+    host.start(&["a7", "b8", "b9"], 2);
+    host.stage(2, 1, Phase::OnTrial, 0.5);
+    host.serve(4000.0, 2);
+    ["a0", "a1", "b2", "b3"].iter().for_each(|name| drop(host.list(name, 1, Standing::Gone, 0.0)));
+    host.stage(2, 2, Phase::OnTrial, 1.0);
+    host.serve(10_000.0, 2);
+    assert_eq!(host.voted(2, Verdict::Back), bad);
+}
