--- a/src/choice.rs
+++ b/src/choice.rs
@@ -219,9 +219,7 @@
     /// Fades what is old; begins all arms together when a build comes on trial, lest earlier trouble count.
     fn refresh(&mut self, s: &mut Servers, trial: Option<Build>, since: Ms, load: f64) {
         let half = |half: Ms| 0.5f64.powf((since / half).min(1.0));
-        // Errors are few and kept while a build is on trial; before one they tell of other troubles, soon over.
-        let kinds = if self.trial.is_some() { RIGHT } else { RIGHT + 1 };
-        let many = s.arms[..kinds].iter_mut().flatten().filter(|arm| arm.count > FADE_FROM);
+        let many = s.arms[..RIGHT].iter_mut().flatten().filter(|arm| arm.count > FADE_FROM);
         many.for_each(|arm| arm.fade(half(FADE_HALF)));
         self.weighed.fade(half(TALLY_HALF));
         if trial != self.trial {
