--- a/src/choice.rs
+++ b/src/choice.rs
@@ -261,7 +261,8 @@
         // A build may slow all servers, old and new: then only the time before it came compares.
         let all = Arm::pool(&s.arms[PACE], if earlier.is_empty() { trial } else { earlier }, None);
         // More txns for each that answers, by a burst or where some are lost, slow them all as well.
-        let alike = on_trial && !trial.is_empty() && sight.load <= LOADED * self.load_before;
+        let sound = self.before[PACE].mean > -PACE_MARGIN;
+        let alike = on_trial && sound && !trial.is_empty() && sight.load <= LOADED * self.load_before;
         let slower = Self::pi(rng, &self.before[PACE], &all, PACE_MARGIN);
         found.extend(alike.then_some((slower, of_own, "pace of all")));
         self.dragged = alike && Self::pi(rng, &self.before[PACE], &all, PACE_MARGIN / 2.0) > DOUBT;
@@ -309,7 +310,9 @@
         if self.terms.mode == VoteMode::Clocked {
             return if self.enough && self.pi > DOUBT { Verdict::Hold } else { Verdict::None };
         }
-        let calm = news.cap < 1.0 || self.weighed.failed <= self.weighed.expected;
+        // Where all was slow before the build came, it is no cure to go back to that.
+        let ill = self.before[PACE].mean <= -PACE_MARGIN;
+        let calm = news.cap < 1.0 || ill || self.weighed.failed <= self.weighed.expected;
         let fit = since_start >= SETTLE && self.pi <= DOUBT && calm && !self.dragged;
         // Nothing is capped any more: the trial carries nearly all for a while, unless too much fails then.
         let rehearses = fit && news.cap >= 1.0 && (self.enough || self.rehearsed.is_some());
@@ -495,8 +498,7 @@
                 let known = self.products.iter().position(|known| known.name == product);
                 let Some(product) = known else { return self.desk.out.push(Action::Void { id }) };
                 (!repeat).then(|| self.fleet.arrivals.note(now, 2.0 * RATE_SPAN));
-                let lane = self.exposure.lane(product);
-                self.exposure.arrivals[lane].note(now, 2.0 * self.exposure.terms.window);
+                self.exposure.note_arrival(product, now, 2.0 * self.exposure.terms.window);
                 self.desk.resends = (self.desk.resends + RESEND_SHARE).min(RESEND_SAVED);
                 // Less time than a first try gets: a repeat, whose SLA time began with the first.
                 let (known, longest) = (&self.products[product], &mut self.desk.longest[product]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -473,6 +473,11 @@
         if self.terms.by_product { product } else { 0 }
     }
 
+    pub fn note_arrival(&mut self, product: usize, now: Ms, keep: Ms) {
+        let lane = self.lane(product);
+        self.arrivals[lane].note(now, keep);
+    }
+
     /// Notes a submission; builds that got none for as long are forgotten.
     pub fn note_send(&mut self, build: Build, product: usize, now: Ms, keep: Ms) {
         let lane = self.lane(product);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -648,3 +648,19 @@
     host.serve(10_000.0, 2);
     assert_eq!(host.voted(2, Verdict::Back), bad);
 }
+
+#[test]
+fn where_all_was_slow_before_a_build_came_it_is_not_sent_back_for_that() {
+    let took = |at: Ms| match at {
+        at if at < 104_000.0 => 50.0,
+        at if at < 107_100.0 => 200.0,
+        _ => 420.0,
+    };
+    let mut host = Host::with(Terms::default(), 4, move |sent: &Sent| (Ending::Settled, took(sent.at)));
+    host.stage(1, 2, Phase::Released, 1.0);
+    host.serve(7000.0, 2);
+    host.start(&["a7", "b8", "b9"], 2);
+    host.stage(2, 0, Phase::OnTrial, 0.5);
+    host.serve(8000.0, 2);
+    assert!(!host.voted(2, Verdict::Back));
+}
