--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,6 +23,7 @@
 const SETTLE: Ms = 3000.0; // ms after the newest trial start before going on (design page)
 const FEW_PATIENCE: Ms = 4000.0; // ms per stage after that start in which too few outcomes make it wait
 const FADE_HALF: Ms = 4000.0; // ms in which an outcome's weight halves: long for power, short for late harm
+const MANY: f64 = 100.0; // own outcomes from which a slow time before the build shows going back is no cure
 const FADE_FROM: f64 = 20.0; // outcomes at an instance from which old ones fade: few are all there is
 const PACE_MARGIN: f64 = 0.4; // log of 1.5: good builds, and the machines they happen to get, differ by less
 const LOADED: f64 = 1.2; // times the txns for each answering instance up to which paces compare over time
@@ -310,8 +311,7 @@
         if self.terms.mode == VoteMode::Clocked {
             return if self.enough && self.pi > DOUBT { Verdict::Hold } else { Verdict::None };
         }
-        // Where all was slow before the build came, it is no cure to go back to that.
-        let ill = self.before[PACE].mean <= -PACE_MARGIN;
+        let ill = self.before[PACE].count >= MANY && self.before[PACE].mean <= -PACE_MARGIN;
         let calm = news.cap < 1.0 || ill || self.weighed.failed <= self.weighed.expected;
         let fit = since_start >= SETTLE && self.pi <= DOUBT && calm && !self.dragged;
         // Nothing is capped any more: the trial carries nearly all for a while, unless too much fails then.
