--- /dev/null
+++ b/crates/control/src/core.rs
@@ -0,0 +1,373 @@
+//! The control service without its sockets: what is taken in, what the decisions make of it, and what follows.
+
+use crate::keep::Kept;
+use latchhaven::api::{Action, Event, ListKind, Listing, Ms, Product, StageNews, Standing};
+use latchhaven::choice::Choice;
+use latchhaven_handout::evidence::{Gathered, Report};
+use latchhaven_handout::handout::{self, Terms};
+use latchhaven_handout::ledger::{Ledger, Shares};
+use latchhaven_handout::order::{Basis, Label, Labels, Way};
+use latchhaven_handout::world::{Heard, World};
+use latchhaven_xds::admission::{Admission, Knock};
+use latchhaven_xds::resources::{Front, Kind, Snapshot};
+use latchhaven_xds::stream::Said;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// ms in which a burst of news becomes one handout.
+const COALESCE: Ms = 40.0;
+/// ms after which a handout is made anew though nothing was told: hosts warm up, traffic changes, proxies fall silent.
+const ANEW: Ms = 250.0;
+/// ms between two calls for the whole list while it is behind what is known.
+const ASK_BEHIND: Ms = 5_000.0;
+/// ms for which a host that left the list may still be reported of.
+const HOST_KEPT: Ms = 60_000.0;
+/// Builds that one address is known to have had: a host comes back with another one.
+const BUILDS_KEPT: usize = 4;
+
+/// One host's address: whose it is, with which builds, and when it was last on the list.
+struct Known {
+    instance: String,
+    builds: BTreeSet<u32>,
+    seen: Ms,
+}
+
+struct Proxy {
+    number: u64,
+    /// Streams of discovery that are open.
+    open: u32,
+}
+
+/// The service's state.
+pub struct Core {
+    choice: Choice,
+    world: World,
+    gathered: Gathered,
+    ledger: Ledger,
+    labels: Labels,
+    terms: Terms,
+    front: Front,
+    admission: Admission,
+    addresses: BTreeMap<String, SocketAddr>,
+    known: BTreeMap<SocketAddr, Known>,
+    /// What reports are checked against.
+    hosts: BTreeMap<SocketAddr, (String, BTreeSet<u32>)>,
+    events: Vec<Event>,
+    snapshot: Option<Arc<Snapshot>>,
+    proxies: BTreeMap<String, Proxy>,
+    numbers: u64,
+    /// Streams that began: the proxy, and whether it reports loads.
+    streams: BTreeMap<u64, String>,
+    knocking: BTreeMap<u64, String>,
+    condemned: bool,
+    /// When a handout is due, and when it was last made.
+    due: Ms,
+    wake: Ms,
+    asked: Ms,
+    behind: bool,
+    waiting_for: Option<&'static str>,
+}
+
+/// What is to be done now.
+#[derive(Default)]
+pub struct Doings {
+    /// Of the decisions: votes, calls for the list, log lines.
+    pub actions: Vec<Action>,
+    /// A new snapshot, to be handed out; and what is to be kept.
+    pub handed: Option<(Arc<Snapshot>, Kept)>,
+    /// Streams whose turn it is.
+    pub begin: Vec<u64>,
+}
+
+impl Core {
+    /// A service that begins from what was kept.
+    pub fn new(
+        choice: Choice, terms: Terms, front: Front, labels: Labels, streams_most: usize, platform_only: bool,
+        kept: Option<Kept>,
+    ) -> Self {
+        let names = terms.products.iter().map(|product| product.name.clone()).collect();
+        let (basis, withdrawn) =
+            kept.map_or((None, BTreeSet::new()), |kept| (Some(kept.basis), kept.withdrawn));
+        let (addresses, known, hosts, events) = Default::default();
+        Core {
+            choice,
+            world: World::since(basis, withdrawn),
+            gathered: Gathered::new(names, platform_only),
+            ledger: Ledger::new(2 * streams_most),
+            labels,
+            terms,
+            front,
+            admission: Admission::new(streams_most),
+            addresses,
+            known,
+            hosts,
+            events,
+            snapshot: None,
+            proxies: BTreeMap::new(),
+            numbers: 0,
+            streams: BTreeMap::new(),
+            knocking: BTreeMap::new(),
+            condemned: false,
+            due: 0.0,
+            wake: 0.0,
+            asked: f64::NEG_INFINITY,
+            behind: false,
+            waiting_for: None,
+        }
+    }
+
+    fn hurry(&mut self, by: Ms) {
+        self.due = self.due.min(by);
+    }
+
+    /// A list, or changes to it.
+    pub fn list(&mut self, version: u64, whole: bool, entries: Vec<(Listing, SocketAddr)>, now: Ms) {
+        let heard = self.world.list(version, whole, now);
+        self.behind = heard == Heard::Older && whole;
+        if heard == Heard::Older {
+            return;
+        }
+        if whole {
+            self.addresses.clear();
+        }
+        for (listing, addr) in &entries {
+            if listing.state == Standing::Gone {
+                self.addresses.remove(&listing.instance);
+                continue;
+            }
+            self.addresses.insert(listing.instance.clone(), *addr);
+            let known = self.known.entry(*addr).or_insert_with(|| {
+                let (instance, builds) = (listing.instance.clone(), BTreeSet::new());
+                Known { instance, builds, seen: now }
+            });
+            known.instance.clone_from(&listing.instance);
+            known.builds.insert(listing.build);
+            while known.builds.len() > BUILDS_KEPT {
+                known.builds.pop_first();
+            }
+        }
+        let here: BTreeSet<SocketAddr> = self.addresses.values().copied().collect();
+        self.known.retain(|addr, known| {
+            known.seen = if here.contains(addr) { now } else { known.seen };
+            now - known.seen < HOST_KEPT
+        });
+        let hosts =
+            self.known.iter().map(|(addr, known)| (*addr, (known.instance.clone(), known.builds.clone())));
+        self.hosts = hosts.collect();
+        let kind = if whole { ListKind::Whole } else { ListKind::Changes };
+        let entries = entries.into_iter().map(|(listing, _)| listing).collect();
+        self.events.push(Event::Fleet { kind, version, entries });
+        // A drain waits for nothing: new work is to stop within its grace at every proxy.
+        self.hurry(now);
+    }
+
+    /// A call for the list failed, or its watch broke.
+    pub fn list_failed(&mut self) {
+        self.world.list_failed();
+        self.events.push(Event::Fleet { kind: ListKind::Failed, version: 0, entries: Vec::new() });
+    }
+
+    /// News of the platform, or its answer to a vote.
+    pub fn stage(&mut self, news: StageNews, now: Ms) {
+        if !news.valid {
+            self.events.push(Event::Stage(news));
+            return;
+        }
+        let marked =
+            self.world.news().is_some_and(|known| known.build == news.build && known.way == Way::Condemned);
+        let taken = self.world.platform(&news, marked || self.condemned, now);
+        self.events.extend(taken.map(Event::Stage));
+        self.hurry(now);
+    }
+
+    /// A tally of the platform: counts where proxies report nothing themselves.
+    pub fn tally(&mut self, tally: Event, now: Ms) {
+        if self.gathered.platform_counts(now) {
+            self.events.push(tally);
+        }
+    }
+
+    /// A stream wants to begin; false: there are too many.
+    pub fn knock(&mut self, stream: u64, node: String, now: Ms) -> bool {
+        let waits = self.admission.knock(stream, &node, now) == Knock::Waits;
+        if waits {
+            self.knocking.insert(stream, node);
+        }
+        waits
+    }
+
+    fn proxy(&mut self, node: &str) -> &mut Proxy {
+        let numbers = &mut self.numbers;
+        self.proxies.entry(node.to_string()).or_insert_with(|| {
+            *numbers += 1;
+            Proxy { number: *numbers, open: 0 }
+        })
+    }
+
+    fn begin(&mut self, stream: u64) {
+        let Some(node) = self.knocking.remove(&stream) else { return };
+        let proxy = self.proxy(&node);
+        proxy.open += 1;
+        let number = proxy.number;
+        self.ledger.came(number);
+        self.streams.insert(stream, node);
+    }
+
+    fn number(&self, stream: u64) -> Option<u64> {
+        Some(self.proxies.get(self.streams.get(&stream)?)?.number)
+    }
+
+    /// A stream ended.
+    pub fn over(&mut self, stream: u64, now: Ms) {
+        self.admission.over(stream);
+        self.knocking.remove(&stream);
+        let Some(node) = self.streams.remove(&stream) else { return };
+        let Some(proxy) = self.proxies.get_mut(&node) else { return };
+        proxy.open = proxy.open.saturating_sub(1);
+        if proxy.open == 0 {
+            self.ledger.left(proxy.number, now);
+            self.gathered.left(proxy.number);
+        }
+    }
+
+    /// What a stream has learnt.
+    pub fn said(&mut self, stream: u64, said: Vec<Said>, now: Ms) {
+        let Some(number) = self.number(stream) else { return };
+        for said in said {
+            match said {
+                Said::Holds(label) => self.holds(number, &label, now),
+                Said::Accepted(shares) => self.ledger.accepted(number, &shares),
+                Said::Refused { kind, words } => {
+                    let node = self.streams.get(&stream);
+                    tracing::warn!(
+                        node,
+                        ?kind,
+                        words,
+                        "a proxy refused what it was sent and keeps what it has"
+                    );
+                    if kind == Kind::Route {
+                        self.ledger.refused(number);
+                    }
+                }
+            }
+        }
+    }
+
+    fn holds(&mut self, number: u64, label: &Label, now: Ms) {
+        // It may go on by what it held, whoever told it: the cap of then bounds its share.
+        let news = label.basis.news;
+        let part = if matches!(news.way, Way::OnTrial | Way::GoingBack) { news.cap } else { 0 };
+        self.ledger.holds(number, vec![part; self.terms.products.len()]);
+        let learnt = self.world.evidence(label, now);
+        if let Some(news) = learnt {
+            self.events.push(Event::Stage(news));
+            self.hurry(now);
+        }
+    }
+
+    /// Routes go out on a stream.
+    pub fn sends(&mut self, stream: u64, trial: &Shares, now: Ms) {
+        if let Some(number) = self.number(stream) {
+            self.ledger.sent(number, trial, now);
+        }
+    }
+
+    /// A load report.
+    ///
+    /// # Errors
+    /// What cannot be in it.
+    pub fn report(&mut self, stream: u64, report: &Report, now: Ms) -> Result<(), String> {
+        let Some(number) = self.number(stream).filter(|_| !self.hosts.is_empty()) else { return Ok(()) };
+        let rates = self.gathered.report(number, report, &self.hosts, now)?;
+        self.ledger.carries(number, rates);
+        Ok(())
+    }
+
+    /// When [`Core::turn`] is to be called next, at the latest.
+    pub fn next(&self, now: Ms) -> Ms {
+        let door = if self.admission.waits() { now + 1.0 } else { f64::INFINITY };
+        let events = if self.events.is_empty() { f64::INFINITY } else { now + COALESCE };
+        self.due.min(self.wake).min(door).min(events)
+    }
+
+    /// Decides on all that was taken in.
+    pub fn turn(&mut self, now: Ms) -> Doings {
+        let mut doings = Doings { begin: self.admission.turn(now), ..Doings::default() };
+        doings.begin.clone().into_iter().for_each(|stream| self.begin(stream));
+        if now < self.due && now < self.wake {
+            return doings;
+        }
+        let mut events = std::mem::take(&mut self.events);
+        events.extend(self.gathered.take(now));
+        if self.wake <= now {
+            events.push(Event::Timer { token: "look".to_string() });
+        }
+        self.wake = f64::INFINITY;
+        for action in self.choice.decide(now, events) {
+            match action {
+                Action::Wake { after, .. } => self.wake = self.wake.min(now + after.max(1.0)),
+                action => doings.actions.push(action),
+            }
+        }
+        if self.wake == f64::INFINITY {
+            self.wake = now + ANEW;
+        }
+        if self.behind && now - self.asked >= ASK_BEHIND {
+            self.asked = now;
+            doings.actions.push(Action::Fetch);
+        }
+        if now >= self.due {
+            self.due = now + ANEW;
+            doings.handed = self.hand(now);
+        }
+        doings
+    }
+
+    fn hand(&mut self, now: Ms) -> Option<(Arc<Snapshot>, Kept)> {
+        self.ledger.forget(now);
+        let Core { proxies, ledger, .. } = self;
+        if proxies.len() > 2 * ledger.len() + 64 {
+            proxies.retain(|_, proxy| proxy.open > 0);
+        }
+        let mut outlook = self.choice.outlook(now);
+        self.condemned = outlook.condemned;
+        if outlook.condemned {
+            self.world.condemn();
+        }
+        let basis = match self.world.basis() {
+            Ok(basis) => basis,
+            Err(why) => {
+                if self.waiting_for.replace(why) != Some(why) {
+                    tracing::info!(why, "nothing is handed out");
+                }
+                return None;
+            }
+        };
+        if basis.news.way == Way::Condemned && outlook.share < 1.0 {
+            // Found bad by another service.
+            outlook.share = 0.0;
+        }
+        let (addresses, withdrawn) = (&self.addresses, self.world.withdrawn());
+        let made = handout::make(&outlook, &self.terms, withdrawn, addresses, &self.ledger, now);
+        let (products, earlier): (&[Product], _) = (&self.terms.products, self.snapshot.as_deref());
+        let snapshot = Snapshot::make(&made, basis, products, &self.front, &self.labels, earlier);
+        self.waiting_for = None;
+        if earlier.is_some_and(|earlier| earlier.basis == basis && snapshot.same(earlier)) {
+            return None;
+        }
+        let moved = earlier.is_none_or(|earlier| earlier.basis.news != basis.news);
+        if moved {
+            let Basis { news, list } = basis;
+            tracing::info!(?news, list = list.version, trial = ?made.trial, "handed out");
+        }
+        let snapshot = Arc::new(snapshot);
+        self.snapshot = Some(snapshot.clone());
+        Some((snapshot, Kept { basis, withdrawn: withdrawn.clone() }))
+    }
+
+    /// Proxies that are known of, and streams that are open.
+    pub fn count(&self) -> (usize, usize) {
+        (self.ledger.len(), self.streams.len())
+    }
+}
--- /dev/null
+++ b/crates/control/src/driver.rs
@@ -0,0 +1,280 @@
+//! The driver round [`Core`]: sockets, disk, signals and the clock.
+
+use crate::core::Core;
+use crate::keep;
+use latchhaven::api::{Action, Event, StageNews};
+use latchhaven_gateway::gateway::Clock;
+use latchhaven_gateway::net::platform::Vote;
+use latchhaven_gateway::net::{NOTES_HELD, Note, VOTES_HELD, list, platform};
+use latchhaven_handout::handout;
+use latchhaven_handout::order::Labels;
+use latchhaven_operator::{Evidence, Plan};
+use latchhaven_wire::WireFault;
+use latchhaven_wire::terms::{self, Terms};
+use latchhaven_xds::resources::Front;
+use latchhaven_xds::server::{self, Ground, Sent, Told};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::select;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep_until};
+use tonic::Status;
+
+/// What streams have told and was not taken in yet; a stream that tells more waits.
+const TOLD_HELD: usize = 1024;
+/// Taken in at most before the decisions are asked again.
+const BATCH: usize = 256;
+
+/// The settings of a plan, read and checked.
+///
+/// # Errors
+/// What is wrong with them, beginning with the key.
+pub fn settings(plan: &Plan) -> Result<Terms, String> {
+    terms::read(&plan.settings.to_string()).map_err(|why| match why {
+        WireFault::Settings(why) => format!("settings.{why}"),
+        why => format!("settings: {why}"),
+    })
+}
+
+/// Serves as a plan says, until SIGTERM or SIGINT, within a `LocalSet` on a runtime of one thread.
+///
+/// # Errors
+/// Settings that cannot be, a key that cannot be read, or a listener that cannot be had.
+pub async fn serve(plan: Plan) -> io::Result<()> {
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let mut asked = signal(SignalKind::user_defined1())?;
+    let clock = Clock::start();
+    let key = match &plan.shared_key_file {
+        None => None,
+        Some(path) => Some(
+            std::fs::read(path)
+                .map_err(|fault| io::Error::other(format!("shared_key_file: {}: {fault}", path.display())))?,
+        ),
+    };
+    let settings = || settings(&plan).map_err(io::Error::other);
+    let (given, connections) = (settings()?.asking(), settings()?.connections());
+    let (exposure, cold, submissions) = settings()?.bounds();
+    let terms = handout::Terms {
+        products: given.products(),
+        exposure,
+        cold,
+        submissions,
+        in_flight_per_host: plan.xds.in_flight_per_host,
+    };
+    let front = Front {
+        listener: plan.xds.listener,
+        product_header: plan.xds.product_header.clone(),
+        key_header: plan.xds.key_header.clone(),
+        connect_within: f64::from(plan.xds.connect_within_ms),
+        hosts_apart: plan.xds.hosts_apart,
+    };
+    let (keeper, kept) = keep::open(plan.state.as_deref());
+    let labels = Labels::new(key);
+    let products: Arc<Vec<String>> =
+        Arc::new(terms.products.iter().map(|known| known.name.clone()).collect());
+    let platform_only = plan.xds.evidence == Evidence::Platform;
+    let choice = given.start(plan.seed);
+    let core = Core::new(choice, terms, front, labels.clone(), plan.xds.streams_most, platform_only, kept);
+
+    let listener = TcpListener::bind(plan.xds.listen)
+        .await
+        .map_err(|fault| io::Error::new(fault.kind(), format!("xds.listen: {}: {fault}", plan.xds.listen)))?;
+    let listening = listener.local_addr()?;
+    let (notes, noted) = mpsc::channel(NOTES_HELD);
+    let (votes, cast) = mpsc::channel(VOTES_HELD);
+    let mut rng = Pcg64Mcg::seed_from_u64(plan.seed);
+    let (_platform, at) = watch::channel(plan.platform);
+    let within = Duration::from_secs_f64(connections.vote_within / 1000.0);
+    tokio::task::spawn_local(platform::feed(at.clone(), Pcg64Mcg::from_rng(&mut rng), notes.clone()));
+    tokio::task::spawn_local(platform::votes(at, within, cast, notes.clone()));
+    let (told, telling) = mpsc::channel(TOLD_HELD);
+    let (snapshots, handed) = watch::channel(None);
+    let sent = Arc::new(Sent::default());
+    let ground = Ground { snapshots: handed, told, labels, products, sent: sent.clone() };
+    let front = server::serve(listener, plan.xds.allowed_networks.clone(), plan.xds.streams_most, ground);
+    tracing::info!(name = plan.name, %listening, "control service starts");
+    let hub = Hub {
+        core,
+        clock,
+        list_addr: plan.discovery,
+        version: 0,
+        watch: None,
+        fetching: None,
+        called: 0,
+        votes,
+        notes,
+        turns: BTreeMap::new(),
+        keeper,
+        snapshots,
+    };
+    let printing = async {
+        while asked.recv().await.is_some() {
+            let of = |count: &std::sync::atomic::AtomicU64| count.load(Ordering::Relaxed);
+            let (messages, bytes) = (of(&sent.messages), of(&sent.bytes));
+            let (apart, apart_bytes) = (of(&sent.incremental_messages), of(&sent.incremental_bytes));
+            tracing::info!(messages, bytes, apart, apart_bytes, "counters");
+        }
+    };
+    select! {
+        _ = term.recv() => tracing::info!("control service stops: proxies keep what they have"),
+        _ = int.recv() => tracing::info!("control service stops: proxies keep what they have"),
+        served = front => served?,
+        () = hub.run(noted, telling) => {}
+        () = printing => {}
+    }
+    Ok(())
+}
+
+struct Hub {
+    core: Core,
+    clock: Clock,
+    list_addr: SocketAddr,
+    version: u64,
+    watch: Option<(u64, AbortHandle)>,
+    fetching: Option<(u64, AbortHandle)>,
+    called: u64,
+    votes: mpsc::Sender<Vote>,
+    notes: mpsc::Sender<Note>,
+    turns: BTreeMap<u64, oneshot::Sender<Result<(), Status>>>,
+    keeper: Option<keep::Keeper>,
+    snapshots: watch::Sender<Option<Arc<latchhaven_xds::resources::Snapshot>>>,
+}
+
+impl Hub {
+    async fn run(mut self, mut noted: mpsc::Receiver<Note>, mut telling: mpsc::Receiver<Told>) {
+        let (mut notes, mut told) = (Vec::new(), Vec::new());
+        loop {
+            let now = self.clock.now();
+            let wait = (self.core.next(now) - now).clamp(0.0, 1_000.0);
+            let until = Instant::now() + Duration::from_secs_f64(wait / 1000.0);
+            select! {
+                biased;
+                count = noted.recv_many(&mut notes, BATCH) => if count == 0 { return },
+                count = telling.recv_many(&mut told, BATCH) => if count == 0 { return },
+                () = sleep_until(until) => {}
+            }
+            let now = self.clock.now();
+            notes.drain(..).for_each(|note| self.note(note, now));
+            told.drain(..).for_each(|told| self.told(told, now));
+            let doings = self.core.turn(now);
+            for stream in doings.begin {
+                let begun = self.turns.remove(&stream).is_some_and(|turn| turn.send(Ok(())).is_ok());
+                if !begun {
+                    self.core.over(stream, now);
+                }
+            }
+            doings.actions.into_iter().for_each(|action| self.act(action));
+            if let Some((snapshot, kept)) = doings.handed {
+                self.keeper.iter().for_each(|keeper| keeper.keep(kept.clone()));
+                self.snapshots.send_replace(Some(snapshot));
+            }
+        }
+    }
+
+    fn note(&mut self, note: Note, now: f64) {
+        match note {
+            Note::List { call, list: told } => {
+                let is = |out: &Option<(u64, AbortHandle)>| {
+                    out.as_ref().is_some_and(|(number, _)| *number == call)
+                };
+                match told {
+                    Some(list) if is(&self.watch) || is(&self.fetching) => {
+                        // Watched from here on, once it was heard whole.
+                        let first = self.version == 0 && list.whole;
+                        self.version = if list.whole || self.version > 0 { list.version } else { 0 };
+                        self.core.list(list.version, list.whole, list.entries, now);
+                        if first {
+                            self.watch();
+                        }
+                    }
+                    None if is(&self.watch) || is(&self.fetching) => self.core.list_failed(),
+                    _ => {}
+                }
+            }
+            Note::Stage(news) => self.core.stage(news, now),
+            Note::Tally(tally) => {
+                let (build, product, age) = (tally.build, tally.product, tally.age);
+                let (count, failed, took) = (tally.count, tally.failed, tally.took);
+                self.core.tally(Event::Tally { build, product, count, failed, took, age }, now);
+            }
+            // Of gateways: there are no txns here.
+            _ => {}
+        }
+    }
+
+    fn told(&mut self, told: Told, now: f64) {
+        match told {
+            Told::Knocks { stream, node, turn } => match self.core.knock(stream, node, now) {
+                true => drop(self.turns.insert(stream, turn)),
+                false => {
+                    drop(turn.send(Err(Status::resource_exhausted("too many streams: come again later"))))
+                }
+            },
+            Told::Said { stream, said } => self.core.said(stream, said, now),
+            Told::Sends { stream, trial } => self.core.sends(stream, &trial, now),
+            Told::Report { stream, report, sound } => {
+                let _ = sound.send(self.core.report(stream, &report, now));
+            }
+            Told::Over { stream } => {
+                self.turns.remove(&stream);
+                self.core.over(stream, now);
+            }
+        }
+    }
+
+    fn watch(&mut self) {
+        self.called += 1;
+        let watch = list::watch(self.list_addr, self.version, self.called, self.notes.clone());
+        let watch = tokio::task::spawn_local(watch).abort_handle();
+        self.watch.replace((self.called, watch)).inspect(|(_, earlier)| earlier.abort());
+    }
+
+    fn fetch(&mut self) {
+        self.called += 1;
+        let fetch = list::fetch(self.list_addr, self.called, self.notes.clone());
+        let fetch = tokio::task::spawn_local(fetch).abort_handle();
+        self.fetching.replace((self.called, fetch)).inspect(|(_, earlier)| earlier.abort());
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Watch { on } => {
+                self.watch.take().inspect(|(_, watch)| watch.abort());
+                match (on, self.version) {
+                    (true, 0) => self.fetch(),
+                    (true, _) => self.watch(),
+                    (false, _) => {}
+                }
+            }
+            Action::Fetch => self.fetch(),
+            Action::Vote { build, stage, verdict } => {
+                let vote = Vote { build, stage, verdict, cast: Instant::now() };
+                if self.votes.try_send(vote).is_err() {
+                    let news = StageNews {
+                        valid: false,
+                        unsure: false,
+                        answer: true,
+                        build,
+                        stage,
+                        phase: latchhaven::api::Phase::OnTrial,
+                        cap: 0.0,
+                        age: 0.0,
+                    };
+                    self.core.stage(news, self.clock.now());
+                }
+            }
+            Action::Log(line) => tracing::info!("{line}"),
+            // Of gateways that carry txns themselves.
+            _ => {}
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod gateway;
 pub mod net;
 pub mod proto;
+pub mod serve;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,66 +1,27 @@
 //! Starts the gateway, watches signals, and ends it.
 
-use latchhaven_gateway::config;
-use latchhaven_gateway::counters::COUNTERS;
-use latchhaven_gateway::gateway::{Clock, Gateway};
-use latchhaven_gateway::net::clients::Clients;
-use latchhaven_gateway::net::servers::Pool;
-use latchhaven_gateway::net::{CLIENTS_OF_EIGHT, KEPT, LAST_ACCEPTS, NOTES_HELD, Note, VOTES_HELD, platform};
+use crate::config;
+use crate::counters::COUNTERS;
+use crate::gateway::{Clock, Gateway};
+use crate::net::clients::Clients;
+use crate::net::servers::Pool;
+use crate::net::{CLIENTS_OF_EIGHT, KEPT, LAST_ACCEPTS, NOTES_HELD, Note, VOTES_HELD, platform};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::io;
 use std::net::SocketAddr;
-use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::select;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
-use tokio::task::LocalSet;
 use tokio::time::sleep;
-use tracing_appender::non_blocking::NonBlockingBuilder;
 
 /// Connections that the machine accepts before this program does.
 const BACKLOG: u32 = 1024;
-/// Log lines held for a reader that is behind; further ones are dropped rather than waited for.
-const LOG_LINES: usize = 2048;
-/// The last log lines get so long to be taken.
-const FLUSH: Duration = Duration::from_millis(300);
 /// How often the last connections are looked at while stopping.
 const LOOK: Duration = Duration::from_millis(5);
 
-fn main() -> ExitCode {
-    let log = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(LOG_LINES);
-    let (log, guard) = log.finish(io::stderr());
-    let level = match std::env::var("LATCHHAVEN_LOG").as_deref() {
-        Ok("debug") => tracing::Level::DEBUG,
-        Ok("warn") => tracing::Level::WARN,
-        _ => tracing::Level::INFO,
-    };
-    tracing_subscriber::fmt()
-        .with_writer(log)
-        .with_max_level(level)
-        .with_ansi(false)
-        .with_target(false)
-        .init();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let served = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, serve()));
-    // Behind a full pipe the guard would wait, and complain where nobody reads either.
-    let (done, flushed) = std::sync::mpsc::channel();
-    std::thread::spawn(move || {
-        drop(guard);
-        let _ = done.send(());
-    });
-    let _ = flushed.recv_timeout(FLUSH);
-    match served {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("latchhaven: {fault}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
 fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // A gateway that was killed starts again under its address.
@@ -69,7 +30,11 @@
     socket.listen(BACKLOG)
 }
 
-async fn serve() -> io::Result<()> {
+/// Serves until SIGTERM or SIGINT, within a `LocalSet` on a runtime of one thread.
+///
+/// # Errors
+/// A faulty configuration, a listener that cannot be had, or an end of the gateway that nobody asked for.
+pub async fn serve() -> io::Result<()> {
     let clock = Clock::start();
     // Before anything that takes time: unheeded, each of these would end the process.
     let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
--- /dev/null
+++ b/crates/handout/src/evidence.rs
@@ -0,0 +1,323 @@
+//! Load reports of proxies: checked, weighed against each other, and turned into tallies and figures on instances.
+//! They are counts over a period; no outcome is made up that nobody saw.
+
+use latchhaven::api::{Build, Event, Ms};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Reports are gathered for so many ms before the decisions hear of them: news of a period, not of each proxy.
+pub const PERIOD: Ms = 1_000.0;
+/// Without a report for so many ms the platform's tallies count instead.
+const SILENT: Ms = 5_000.0;
+/// Times the mean of all reporting proxies that one of them counts at most, where at least so many report: one that
+/// is wrong, or lies, condemns nothing alone.
+const CLIP: f64 = 4.0;
+const CLIP_FROM: usize = 4;
+/// Submissions to one instance that count at most of one proxy and period: a broken way from one proxy is no sick host.
+const HOST_CLIP: f64 = 20.0;
+/// No proxy sends more in a period; figures above are nonsense.
+const COUNT_MOST: u64 = 1_000_000_000;
+/// The longest and shortest periods in ms that a report may cover.
+const INTERVAL: std::ops::RangeInclusive<Ms> = 1.0..=3_600_000.0;
+/// The longest mean time of an answer in ms that is believed: an hour.
+const TOOK_MOST: Ms = 3_600_000.0;
+/// Weight of the newest report in a proxy's rate.
+const NEWEST: f64 = 0.3;
+
+/// What a proxy counted at one host since its last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// Submissions begun; 0 where the proxy doesn't count them.
+    pub issued: u64,
+    pub settled: u64,
+    pub failed: u64,
+    /// Still out when the report was made.
+    pub out: u64,
+    /// Sum of the times in ms of so many settled ones.
+    pub took: f64,
+    pub timed: u64,
+}
+
+/// What a proxy counted in one cluster.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClusterReport {
+    pub build: Build,
+    pub product: usize,
+    pub hosts: Vec<(SocketAddr, Figures)>,
+    pub dropped: u64,
+}
+
+/// One report of one proxy; `interval`: ms that it covers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    pub interval: Ms,
+    pub clusters: Vec<ClusterReport>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    count: f64,
+    failed: f64,
+    took: f64,
+    timed: f64,
+}
+
+impl Sum {
+    fn add(&mut self, figures: &Figures, most: f64) {
+        let count = (figures.settled + figures.failed) as f64;
+        let share = if count > most { most / count } else { 1.0 };
+        self.count += share * count;
+        self.failed += share * figures.failed as f64;
+        self.took += share * figures.took;
+        self.timed += share * figures.timed as f64;
+    }
+
+    fn took(&self) -> Option<Ms> {
+        (self.timed > 0.0).then(|| self.took / self.timed)
+    }
+}
+
+/// What one proxy told of late.
+#[derive(Clone, Debug, Default)]
+struct Reporter {
+    rate: Vec<f64>,
+    /// Still out at each cluster when it last reported.
+    out: BTreeMap<(Build, usize), u64>,
+}
+
+/// All reports since they were last taken.
+#[derive(Clone, Debug)]
+pub struct Gathered {
+    products: Vec<String>,
+    /// By build and product, then proxy.
+    tallies: BTreeMap<(Build, usize), BTreeMap<u64, Sum>>,
+    hosts: BTreeMap<(String, usize), Sum>,
+    reporters: BTreeMap<u64, Reporter>,
+    heard: Option<Ms>,
+    taken: Ms,
+    platform_only: bool,
+}
+
+impl Gathered {
+    /// Gathers by these products; `platform_only`: proxies' counts judge no build.
+    pub fn new(products: Vec<String>, platform_only: bool) -> Self {
+        let (tallies, hosts, reporters) = Default::default();
+        Gathered { products, tallies, hosts, reporters, heard: None, taken: 0.0, platform_only }
+    }
+
+    /// Takes a report over, whole or not at all.
+    ///
+    /// # Errors
+    /// What cannot be in it: figures that contradict, times that are none, hosts that are not in their cluster.
+    pub fn report(
+        &mut self, proxy: u64, report: &Report, known: &BTreeMap<SocketAddr, (String, BTreeSet<Build>)>,
+        now: Ms,
+    ) -> Result<Vec<f64>, String> {
+        if !INTERVAL.contains(&report.interval) {
+            return Err("load_report_interval: not from 1 ms to 1 h".to_string());
+        }
+        let before = self.reporters.get(&proxy);
+        let mut seen = BTreeSet::new();
+        for cluster in &report.clusters {
+            let at = (cluster.build, cluster.product);
+            if cluster.product >= self.products.len() || !seen.insert(at) {
+                return Err("cluster_stats: a cluster that is unknown, or there twice".to_string());
+            }
+            let (mut begun, mut ended) = (0u64, 0u64);
+            for (host, figures) in &cluster.hosts {
+                let Figures { issued, settled, failed, out, took, timed } = *figures;
+                if [issued, settled, failed, out, timed, cluster.dropped]
+                    .iter()
+                    .any(|count| *count > COUNT_MOST)
+                {
+                    return Err(format!("{host}: counts that cannot be"));
+                }
+                let mean = if timed > 0 { took / timed as f64 } else { took };
+                if !(0.0..=TOOK_MOST).contains(&mean) || (timed == 0 && took != 0.0) {
+                    return Err(format!("{host}: times that cannot be"));
+                }
+                let here = known.get(host).is_some_and(|(_, builds)| builds.contains(&cluster.build));
+                if !here {
+                    return Err(format!("{host}: no host of its cluster"));
+                }
+                (begun, ended) = (begun + issued, ended + settled + failed);
+            }
+            let out = before.and_then(|before| before.out.get(&at));
+            if let Some(out) = out.filter(|_| begun > 0)
+                && ended > begun + out
+            {
+                return Err("cluster_stats: more ended than had begun".to_string());
+            }
+        }
+        let mut rate = vec![0.0; self.products.len()];
+        let mut out = BTreeMap::new();
+        for cluster in &report.clusters {
+            let at = (cluster.build, cluster.product);
+            let sum = self.tallies.entry(at).or_default().entry(proxy).or_default();
+            for (host, figures) in &cluster.hosts {
+                sum.add(figures, f64::INFINITY);
+                if let Some((instance, _)) = known.get(host) {
+                    let sum = self.hosts.entry((instance.clone(), cluster.product)).or_default();
+                    sum.add(figures, HOST_CLIP);
+                }
+                rate[cluster.product] +=
+                    (figures.settled + figures.failed).max(figures.issued) as f64 / report.interval;
+                *out.entry(at).or_default() += figures.out;
+            }
+            rate[cluster.product] += cluster.dropped as f64 / report.interval;
+        }
+        let reporter = self.reporters.entry(proxy).or_default();
+        if reporter.rate.is_empty() {
+            reporter.rate = rate;
+        } else {
+            reporter.rate.iter_mut().zip(&rate).for_each(|(held, new)| *held += NEWEST * (new - *held));
+        }
+        (reporter.out, self.heard) = (out, Some(now));
+        Ok(reporter.rate.clone())
+    }
+
+    /// A proxy went away.
+    pub fn left(&mut self, proxy: u64) {
+        self.reporters.remove(&proxy);
+    }
+
+    /// Whether the platform's tallies count now: never both its and the proxies', which saw the same submissions.
+    pub fn platform_counts(&self, now: Ms) -> bool {
+        self.platform_only || self.heard.is_none_or(|heard| now - heard > SILENT)
+    }
+
+    /// What a period brought, for the decisions; nothing before it is over.
+    pub fn take(&mut self, now: Ms) -> Vec<Event> {
+        if now - self.taken < PERIOD {
+            return Vec::new();
+        }
+        let age = (now - self.taken) / 2.0;
+        self.taken = now;
+        let mut events = Vec::new();
+        for ((instance, product), sum) in std::mem::take(&mut self.hosts) {
+            let (count, failed) = (sum.count.round() as u64, sum.failed.round() as u64);
+            let (product, failed) = (self.products[product].clone(), failed.min(count));
+            events.push(Event::Seen { instance, product, count, failed, took: sum.took() });
+        }
+        for ((build, product), sums) in std::mem::take(&mut self.tallies) {
+            if self.platform_only {
+                continue;
+            }
+            let mean = sums.values().map(|sum| sum.count).sum::<f64>() / sums.len().max(1) as f64;
+            let most = if sums.len() >= CLIP_FROM { CLIP * mean } else { f64::INFINITY };
+            let mut all = Sum::default();
+            for sum in sums.values() {
+                let share = if sum.count > most { most / sum.count } else { 1.0 };
+                all.count += share * sum.count;
+                all.failed += share * sum.failed;
+                all.took += share * sum.took;
+                all.timed += share * sum.timed;
+            }
+            let (count, failed) = (all.count.round() as u64, all.failed.round() as u64);
+            let (product, failed) = (self.products[product].clone(), failed.min(count));
+            events.push(Event::Tally { build, product, count, failed, took: all.took(), age });
+        }
+        events
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn known() -> BTreeMap<SocketAddr, (String, BTreeSet<Build>)> {
+        let host = |n: u16| (SocketAddr::from(([127, 0, 0, 1], n)), (format!("s{n}"), BTreeSet::from([1])));
+        (1..4).map(host).collect()
+    }
+
+    fn report(build: Build, host: u16, figures: Figures) -> Report {
+        let hosts = vec![(SocketAddr::from(([127, 0, 0, 1], host)), figures)];
+        Report { interval: 1000.0, clusters: vec![ClusterReport { build, product: 0, hosts, dropped: 0 }] }
+    }
+
+    fn ok(settled: u64, failed: u64) -> Figures {
+        Figures { settled, failed, issued: settled + failed, ..Figures::default() }
+    }
+
+    #[test]
+    fn what_cannot_be_is_refused_whole() {
+        let (known, mut all) = (known(), Gathered::new(vec!["look".to_string()], false));
+        let mut refused = |report: Report| all.report(1, &report, &known, 0.0).is_err();
+        assert!(!refused(report(1, 1, Figures { out: 2, ..ok(5, 1) })));
+        for bad in [
+            report(1, 9, ok(1, 0)),
+            report(2, 1, ok(1, 0)),
+            report(1, 1, ok(COUNT_MOST + 1, 0)),
+            report(1, 1, Figures { took: f64::INFINITY, timed: 1, ..ok(1, 0) }),
+            report(1, 1, Figures { took: f64::NAN, timed: 1, ..ok(1, 0) }),
+            report(1, 1, Figures { took: -3.0, timed: 1, ..ok(1, 0) }),
+            report(1, 1, Figures { took: 3.0, timed: 0, ..ok(1, 0) }),
+            report(1, 1, Figures { issued: 1, settled: 9, ..Figures::default() }),
+            Report { interval: f64::NAN, ..report(1, 1, ok(1, 0)) },
+            Report { interval: 0.0, ..report(1, 1, ok(1, 0)) },
+        ] {
+            assert!(refused(bad.clone()), "{bad:?}");
+        }
+        let events = all.take(2000.0);
+        let tallied = events.iter().find_map(|event| match event {
+            Event::Tally { count, failed, .. } => Some((*count, *failed)),
+            _ => None,
+        });
+        assert_eq!(tallied, Some((6, 1)), "only what was sound");
+    }
+
+    #[test]
+    fn one_proxy_condemns_neither_a_build_nor_a_host() {
+        let (known, mut all) = (known(), Gathered::new(vec!["look".to_string()], false));
+        for proxy in 0..9 {
+            all.report(proxy, &report(1, 1, ok(100, 0)), &known, 0.0).unwrap();
+        }
+        all.report(9, &report(1, 1, ok(0, 1_000_000)), &known, 0.0).unwrap();
+        let mut failing = Vec::new();
+        for event in all.take(2000.0) {
+            match event {
+                Event::Tally { count, failed, .. } | Event::Seen { count, failed, .. } => {
+                    failing.push(failed as f64 / count as f64);
+                }
+                _ => {}
+            }
+        }
+        // A host is left aside from 0.6 on.
+        assert!(failing.len() == 2 && failing[0] < 0.2, "{failing:?}");
+    }
+
+    #[test]
+    fn submissions_are_never_counted_by_both() {
+        let (known, mut all) = (known(), Gathered::new(vec!["look".to_string()], false));
+        assert!(all.platform_counts(0.0));
+        all.report(1, &report(1, 1, ok(5, 0)), &known, 0.0).unwrap();
+        assert!(!all.platform_counts(4_000.0) && all.platform_counts(6_000.0));
+        let mut all = Gathered::new(vec!["look".to_string()], true);
+        all.report(1, &report(1, 1, ok(5, 0)), &known, 0.0).unwrap();
+        assert!(all.platform_counts(1.0));
+        assert!(all.take(2000.0).iter().all(|event| matches!(event, Event::Seen { .. })));
+    }
+
+    proptest! {
+        #[test]
+        fn whatever_is_reported_no_event_contradicts_itself(
+            reports in prop::collection::vec(
+                (0u64..5, 0u16..5, any::<u64>(), any::<u64>(), any::<u64>(), any::<f64>(), any::<u64>()), 0..40)
+        ) {
+            let (known, mut all) = (known(), Gathered::new(vec!["look".to_string()], false));
+            for (proxy, host, issued, settled, failed, took, timed) in reports {
+                let cut = |count: u64| count >> (count % 64);
+                let (issued, settled, failed) = (cut(issued), cut(settled), cut(failed));
+                let figures = Figures { issued, settled, failed, out: 0, took, timed: cut(timed) };
+                let _ = all.report(proxy, &report(1, host, figures), &known, 0.0);
+            }
+            for event in all.take(1500.0) {
+                if let Event::Tally { count, failed, took, .. } | Event::Seen { count, failed, took, .. } = event {
+                    prop_assert!(failed <= count);
+                    prop_assert!(took.is_none_or(|took| took.is_finite() && took >= 0.0));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/handout/src/handout.rs
@@ -0,0 +1,414 @@
+//! The outlook of the decisions as proxies are told it: clusters by build and product, hosts by build, a route by
+//! product. What the five rules demand of a front that is not asked for each txn is seen to here.
+
+use crate::ledger::{Ledger, Shares};
+use crate::shares::{MILLION, cold_share, parts, safe_share};
+use latchhaven::api::{Build, ColdStart, Effect, ExposureTerms, Group, Ms, Outlook, Product};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// A window brings at least this part of the txns of late: traffic may fall before proxies are told anew.
+const LEAST_OF_LATE: f64 = 0.5;
+/// Steps of capacity in which hosts are weighed: finer ones would send anew all the time while hosts warm up.
+const WEIGHT_STEPS: f64 = 20.0;
+/// Steps in which shares below the cap and drops are told, in parts of a million: hundredths.
+const STEP: u32 = 10_000;
+/// Times its even part of a build's room in flight that each proxy may use: clients spread unevenly.
+const UNEVEN: f64 = 2.0;
+/// In flight that a proxy may have at a build at least.
+const IN_FLIGHT_LEAST: u32 = 4;
+/// ms between two tries of a proxy at most, beside the time of the try itself.
+const BACK_OFF: Ms = 100.0;
+
+/// What stays the same from handout to handout.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub products: Vec<Product>,
+    pub exposure: ExposureTerms,
+    pub cold: ColdStart,
+    /// Submissions of a txn at most.
+    pub submissions: usize,
+    /// In flight that a warm host of weight 1 can hold, over all proxies.
+    pub in_flight_per_host: u32,
+}
+
+/// Everything that proxies are told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Handout {
+    pub clusters: Vec<Cluster>,
+    pub hosts: BTreeMap<Build, Vec<Host>>,
+    /// In parts of a million, to be declined at once.
+    pub dropped: u32,
+    pub routes: Vec<Route>,
+    /// The trial's share by product.
+    pub trial: Shares,
+}
+
+/// One product's way to one build.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cluster {
+    pub build: Build,
+    pub product: usize,
+    /// In flight at most, at each proxy.
+    pub in_flight: u32,
+    /// Repeats may go there: not while a cap counts every submission.
+    pub repeats: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    Healthy,
+    /// Left aside for now.
+    Unhealthy,
+    /// It wants nothing new.
+    Draining,
+}
+
+/// One host of a build.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Host {
+    pub instance: String,
+    pub addr: SocketAddr,
+    pub zone: String,
+    pub weight: u32,
+    pub health: Health,
+}
+
+/// Where a part of a product's txns goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Target {
+    Build(Build),
+    /// Nowhere: declined at once.
+    Decline,
+}
+
+/// Which failed submissions a proxy may repeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// Those that provably never ran: no connection, or refused unprocessed.
+    NeverRan,
+    /// Any.
+    Any,
+}
+
+/// How one product's txns go.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    pub product: usize,
+    /// In parts of a million, one whole in all.
+    pub shares: Vec<(Target, u32)>,
+    /// The same for txns with a key, where keys may not go back.
+    pub keyed: Option<Vec<(Target, u32)>>,
+    pub timeout: Ms,
+    pub try_timeout: Option<Ms>,
+    pub repeats: u32,
+    pub repeat: Repeat,
+}
+
+/// Capacity of the hosts of each build that get txns.
+fn capacities(outlook: &Outlook) -> BTreeMap<Build, f64> {
+    let mut capacities: BTreeMap<Build, f64> = BTreeMap::new();
+    for host in outlook.instances.iter().filter(|host| host.ready) {
+        let all_aside = || {
+            outlook.instances.iter().filter(|other| other.ready && other.build == host.build).all(|o| o.aside)
+        };
+        if !host.aside || all_aside() {
+            *capacities.entry(host.build).or_default() += host.capacity;
+        }
+    }
+    capacities
+}
+
+/// Makes a handout of what the decisions look like at one moment.
+pub fn make(
+    outlook: &Outlook, terms: &Terms, withdrawn: &BTreeSet<Build>, addresses: &BTreeMap<String, SocketAddr>,
+    ledger: &Ledger, now: Ms,
+) -> Handout {
+    let capacities = capacities(outlook);
+    let hosts = hosts(outlook, addresses);
+    let trial_builds: BTreeSet<Build> = outlook.trials.iter().map(|trial| trial.build).collect();
+    let earlier: Vec<(Build, f64)> = capacities
+        .iter()
+        .filter(|(build, capacity)| {
+            !trial_builds.contains(build) && !withdrawn.contains(build) && **capacity > 0.0
+        })
+        .map(|(build, capacity)| (*build, *capacity))
+        .collect();
+    let mut trial = Shares::new();
+    let routes = terms.products.iter().enumerate().map(|(product, known)| {
+        let parts = trial_parts(outlook, terms, &capacities, !earlier.is_empty(), product, ledger, now);
+        trial.push(parts.iter().map(|(_, part)| part).sum());
+        let keyed = terms.exposure.no_return.then(|| {
+            // A key that the trial answered must not return: with a key all stay where they are, then move once.
+            let stays = if earlier.is_empty() { parts.clone() } else { Vec::new() };
+            whole(stays, &earlier)
+        });
+        let (repeat, repeats, try_timeout) = repeats(known, terms.submissions);
+        let shares = whole(parts, &earlier);
+        Route { product, shares, keyed, timeout: known.expiry, try_timeout, repeats, repeat }
+    });
+    let routes: Vec<Route> = routes.collect();
+    let proxies = ledger.len().max(1) as f64;
+    let clusters = hosts.keys().flat_map(|build| {
+        let capacity = capacities.get(build).copied().unwrap_or(0.0);
+        let room = f64::from(terms.in_flight_per_host) * capacity * UNEVEN / proxies;
+        // Powers of two: a proxy more or less, or a host, does not tell all of them anew.
+        let in_flight = (room.ceil() as u32).max(IN_FLIGHT_LEAST).next_power_of_two();
+        let capped = outlook.trials.iter().any(|trial| trial.build == *build && trial.cap < 1.0);
+        let cluster = move |product| Cluster { build: *build, product, in_flight, repeats: !capped };
+        (0..terms.products.len()).map(cluster)
+    });
+    let clusters = clusters.collect();
+    let dropped = parts(outlook.shed) / STEP * STEP;
+    Handout { clusters, hosts, dropped, routes, trial }
+}
+
+fn hosts(outlook: &Outlook, addresses: &BTreeMap<String, SocketAddr>) -> BTreeMap<Build, Vec<Host>> {
+    let mut hosts: BTreeMap<Build, Vec<Host>> = BTreeMap::new();
+    for host in &outlook.instances {
+        let Some(addr) = addresses.get(&host.instance) else { continue };
+        let health = match (host.ready, host.aside) {
+            (false, _) => Health::Draining,
+            (true, true) => Health::Unhealthy,
+            (true, false) => Health::Healthy,
+        };
+        let weight = ((host.capacity * WEIGHT_STEPS).floor().clamp(1.0, 1e6)) as u32;
+        let (instance, zone) = (host.instance.clone(), host.zone.clone());
+        hosts.entry(host.build).or_default().push(Host { instance, addr: *addr, zone, weight, health });
+    }
+    for hosts in hosts.values_mut() {
+        hosts.sort_by(|a, b| a.instance.cmp(&b.instance));
+        // All aside is no choice left: they are tried rather than none.
+        if !hosts.iter().any(|host| host.health == Health::Healthy) {
+            let aside = hosts.iter_mut().filter(|host| host.health == Health::Unhealthy);
+            aside.for_each(|host| host.health = Health::Healthy);
+        }
+    }
+    hosts
+}
+
+/// What each build on trial gets of a product's txns.
+fn trial_parts(
+    outlook: &Outlook, terms: &Terms, capacities: &BTreeMap<Build, f64>, beside: bool, product: usize,
+    ledger: &Ledger, now: Ms,
+) -> Vec<(Build, u32)> {
+    let capacity = |build: Build| capacities.get(&build).copied().unwrap_or(0.0);
+    let (all, on_trial) = (
+        capacities.values().sum::<f64>(),
+        outlook.trials.iter().map(|trial| capacity(trial.build)).sum::<f64>(),
+    );
+    let cold =
+        |build: Build| outlook.instances.iter().any(|host| host.build == build && host.ready && host.cold);
+    let any_cold = outlook.trials.iter().any(|trial| cold(trial.build));
+    let bound = if any_cold && beside { cold_share(terms.cold.multiple, on_trial, all) } else { 1.0 };
+    let wanted = outlook.share.min(bound);
+    let rate: f64 = match terms.exposure.by_product {
+        true => ledger.rate(product),
+        false => (0..terms.products.len()).map(|product| ledger.rate(product)).sum(),
+    };
+    let least = rate * terms.exposure.window * LEAST_OF_LATE;
+    let mut found = Vec::new();
+    for trial in outlook.trials.iter().filter(|trial| capacity(trial.build) > 0.0) {
+        let open = trial.stage >= terms.exposure.closed_stages
+            || terms.products[product].effect == Effect::InquiryLike;
+        let safe = if open { safe_share(trial.cap, terms.exposure.free, least) } else { 0.0 };
+        let rest = ledger.rest(product, safe, now);
+        let part = (wanted * capacity(trial.build) / on_trial).min(rest);
+        // Coarse steps downwards, so that a change of traffic does not tell all anew.
+        let (part, step) = (parts(part), if trial.cap < 1.0 { STEP / 10 } else { STEP });
+        found.push((trial.build, part / step * step));
+    }
+    found
+}
+
+/// The parts of a trial and what is left of one whole, by capacity among the earlier builds.
+fn whole(trial: Vec<(Build, u32)>, earlier: &[(Build, f64)]) -> Vec<(Target, u32)> {
+    let mut shares: Vec<(Target, u32)> =
+        trial.into_iter().map(|(build, part)| (Target::Build(build), part)).collect();
+    let left = MILLION - shares.iter().map(|(_, part)| *part).sum::<u32>().min(MILLION);
+    let all: f64 = earlier.iter().map(|(_, capacity)| capacity).sum();
+    let mut given = 0;
+    for (n, (build, capacity)) in earlier.iter().enumerate() {
+        let last = n + 1 == earlier.len();
+        let part = f64::from(left) * capacity / all.max(f64::MIN_POSITIVE);
+        let part = if last { left - given } else { (part as u32 / STEP * STEP).min(left - given) };
+        given += part;
+        shares.push((Target::Build(*build), part));
+    }
+    if earlier.is_empty() {
+        shares.push((Target::Decline, left));
+    }
+    shares.retain(|(target, part)| *part > 0 || matches!(target, Target::Build(_)));
+    shares
+}
+
+/// Which submissions of a product a proxy may repeat, how often, and how long it waits for each.
+fn repeats(product: &Product, submissions: usize) -> (Repeat, u32, Option<Ms>) {
+    let most = submissions.saturating_sub(1) as u32;
+    match product.effect {
+        Effect::InquiryLike => (Repeat::Any, most, Some(product.sla)),
+        // A proxy chooses the host of a repeat by itself: it may leave the group that drops repeats.
+        Effect::Referenced if product.group == Group::All => {
+            // Each try takes its time at most; the last has to begin while repeats are still dropped.
+            let span = (product.remember - BACK_OFF).max(0.0);
+            let fit = (span / (product.sla + BACK_OFF)).floor() as u32;
+            (Repeat::Any, most.min(fit), Some(product.sla))
+        }
+        Effect::Referenced | Effect::OnceOnly => (Repeat::NeverRan, most, None),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use latchhaven::api::{Outlooked, Trial};
+    use proptest::prelude::*;
+
+    fn product(effect: Effect, group: Group, remember: Ms) -> Product {
+        let name = format!("{effect:?}{group:?}");
+        let (sla, expiry) = (600.0, 2000.0);
+        Product {
+            name,
+            effect,
+            group,
+            remember,
+            sla,
+            sla_stretch: 0.0,
+            expiry,
+            revenue: 1.0,
+            late_share: 0.0,
+            streamed: false,
+        }
+    }
+
+    fn terms() -> Terms {
+        let products = vec![
+            product(Effect::InquiryLike, Group::All, 0.0),
+            product(Effect::Referenced, Group::All, 1500.0),
+            product(Effect::Referenced, Group::Zone, 5000.0),
+            product(Effect::OnceOnly, Group::All, 0.0),
+        ];
+        let exposure = ExposureTerms {
+            free: 2.0,
+            caps: vec![0.1, 1.0],
+            window: 2000.0,
+            by_product: false,
+            closed_stages: 1,
+            no_return: true,
+        };
+        let cold = ColdStart { from: 0.4, warm_up: 5000.0, multiple: 3.0, span: 1500.0 };
+        Terms { products, exposure, cold, submissions: 3, in_flight_per_host: 64 }
+    }
+
+    fn host(n: usize, build: Build, ready: bool, aside: bool, cold: bool) -> Outlooked {
+        let capacity = if cold { 0.4 } else { 1.0 };
+        Outlooked { instance: format!("s{n}"), build, zone: "a".to_string(), ready, aside, capacity, cold }
+    }
+
+    fn addresses(n: usize) -> BTreeMap<String, SocketAddr> {
+        (0..n).map(|n| (format!("s{n}"), SocketAddr::from(([127, 0, 0, 1], 1000 + n as u16)))).collect()
+    }
+
+    fn busy(rate: f64) -> Ledger {
+        let mut ledger = Ledger::new(10);
+        ledger.came(1);
+        ledger.carries(1, vec![rate; 4]);
+        ledger
+    }
+
+    #[test]
+    fn closed_stages_and_keys_keep_all_but_inquiries_with_the_earlier_build() {
+        let hosts = vec![host(0, 1, true, false, false), host(1, 2, true, false, false)];
+        let trials = vec![Trial { build: 2, cap: 0.1, stage: 0 }];
+        let outlook = Outlook { trials, share: 0.5, instances: hosts, ..Outlook::default() };
+        let made = make(&outlook, &terms(), &BTreeSet::new(), &addresses(2), &busy(1.0), 0.0);
+        assert!(made.trial[0] > 30_000 && made.trial[0] < 100_000, "{:?}", made.trial);
+        assert_eq!(made.trial[1..], [0, 0, 0]);
+        let earlier_only = vec![(Target::Build(1), MILLION)];
+        assert!(made.routes.iter().all(|route| route.keyed.as_ref() == Some(&earlier_only)));
+        assert!(made.clusters.iter().all(|cluster| cluster.repeats == (cluster.build == 1)));
+    }
+
+    #[test]
+    fn a_withdrawn_build_gets_nothing_though_the_next_one_is_on_trial() {
+        let hosts = vec![
+            host(0, 1, true, false, false),
+            host(1, 2, true, false, false),
+            host(2, 3, true, false, false),
+        ];
+        let trials = vec![Trial { build: 3, cap: 0.1, stage: 1 }];
+        let outlook = Outlook { trials, share: 0.3, instances: hosts, ..Outlook::default() };
+        let made = make(&outlook, &terms(), &BTreeSet::from([2]), &addresses(3), &busy(1.0), 0.0);
+        let given = |target| {
+            made.routes.iter().any(|route| {
+                route
+                    .shares
+                    .iter()
+                    .chain(route.keyed.iter().flatten())
+                    .any(|share| share.0 == target && share.1 > 0)
+            })
+        };
+        assert!(given(Target::Build(1)) && given(Target::Build(3)) && !given(Target::Build(2)));
+    }
+
+    #[test]
+    fn repeats_follow_what_a_product_allows() {
+        let made = repeats(&product(Effect::OnceOnly, Group::All, 9000.0), 3);
+        assert_eq!(made, (Repeat::NeverRan, 2, None));
+        assert_eq!(repeats(&product(Effect::Referenced, Group::Cell, 9000.0), 3).0, Repeat::NeverRan);
+        assert_eq!(
+            repeats(&product(Effect::Referenced, Group::All, 9000.0), 3),
+            (Repeat::Any, 2, Some(600.0))
+        );
+        // Only one repeat begins before the window is over, or none.
+        assert_eq!(repeats(&product(Effect::Referenced, Group::All, 900.0), 3).1, 1);
+        assert_eq!(repeats(&product(Effect::Referenced, Group::All, 700.0), 3).1, 0);
+    }
+
+    proptest! {
+        /// Whatever the fleet looks like: each route is one whole, the trial within the cap and open only where it
+        /// may be, a withdrawn build gets nothing, and each build's cold hosts no more than their budget.
+        #[test]
+        fn every_handout_keeps_the_rules(
+            fleet in prop::collection::vec((1u32..5, any::<bool>(), any::<bool>(), any::<bool>()), 0..12),
+            cap in 0.0f64..=1.0, stage in 0u32..2, share in 0.0f64..=1.0, rate in 0.0f64..10.0,
+            withdrawn in prop::collection::btree_set(1u32..3, 0..2), shed in 0.0f64..=1.0
+        ) {
+            let instances: Vec<Outlooked> = fleet
+                .iter()
+                .enumerate()
+                .map(|(n, (build, ready, aside, cold))| host(n, *build, *ready, *aside, *cold))
+                .collect();
+            let on: BTreeSet<Build> =
+                instances.iter().filter(|host| host.ready && host.build >= 3).map(|host| host.build).collect();
+            let trials: Vec<Trial> = on.iter().map(|build| Trial { build: *build, cap, stage }).collect();
+            let outlook = Outlook { trials, share, shed, instances, ..Outlook::default() };
+            let terms = terms();
+            let made = make(&outlook, &terms, &withdrawn, &addresses(12), &busy(rate), 0.0);
+            let safe = parts(safe_share(cap, 2.0, rate * 4.0 * 2000.0 * LEAST_OF_LATE));
+            for route in &made.routes {
+                for shares in [Some(&route.shares), route.keyed.as_ref()].into_iter().flatten() {
+                    prop_assert_eq!(shares.iter().map(|(_, part)| *part).sum::<u32>(), MILLION);
+                    for (target, part) in shares {
+                        let Target::Build(build) = target else { continue };
+                        prop_assert!(*part == 0 || !withdrawn.contains(build) || on.contains(build));
+                        let closed = stage < 1 && terms.products[route.product].effect != Effect::InquiryLike;
+                        prop_assert!(!on.contains(build) || (*part <= safe && (*part == 0 || !closed)));
+                        prop_assert!(made.hosts.contains_key(build), "no reference dangles");
+                    }
+                }
+            }
+            for cluster in &made.clusters {
+                prop_assert!(made.hosts.contains_key(&cluster.build));
+                prop_assert!(!cluster.repeats || cap >= 1.0 || !on.contains(&cluster.build));
+            }
+            for (build, hosts) in &made.hosts {
+                for host in hosts {
+                    let listed = &outlook.instances[host.instance[1..].parse::<usize>().unwrap()];
+                    prop_assert!(listed.ready || host.health == Health::Draining);
+                    prop_assert_eq!(listed.build, *build);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/handout/src/order.rs
@@ -0,0 +1,284 @@
+//! The order of states: by what they are based on, never by who told them or when they were made.
+//!
+//! A state of the newest build and a version of the list are two chains. A handout is newer than another one only
+//! where neither of its two parts is older. A label carries both as text, signed where control services share a
+//! key, so that a proxy which reports what it holds tells another service how far the world is.
+
+use hmac::{Hmac, Mac};
+use latchhaven::api::{Build, Ms, Phase, StageNews};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use std::cmp::Ordering;
+
+/// Services read one platform at different moments, on clocks that differ: beginnings of a state within this many ms
+/// are one. Stages and phases are far longer.
+const SAME: u64 = 2_000;
+/// Parts of a million in which caps are labelled.
+const MILLION: f64 = 1e6;
+/// A label is shorter than this; whatever is longer was not made here.
+pub const LABEL_MOST: usize = 160;
+/// Hexadecimal digits of a signature that are kept: 64 bits, guessed by nobody over a stream.
+const SIGNED: usize = 16;
+
+/// How far a build is. Once condemned here it is not given out as on trial again, whatever another service thinks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Way {
+    OnTrial,
+    Condemned,
+    Released,
+    GoingBack,
+    Withdrawn,
+}
+
+/// A state of the newest build.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsMark {
+    pub build: Build,
+    pub way: Way,
+    pub stage: u32,
+    /// Parts of a million.
+    pub cap: u32,
+    /// Unix time in ms at which the state began.
+    pub since: u64,
+}
+
+impl NewsMark {
+    /// The mark of a state that was told at this moment.
+    pub fn of(news: &StageNews, condemned: bool, now: Ms) -> Self {
+        let way = match news.phase {
+            Phase::OnTrial if condemned => Way::Condemned,
+            Phase::OnTrial => Way::OnTrial,
+            Phase::Released => Way::Released,
+            Phase::GoingBack => Way::GoingBack,
+            Phase::Withdrawn => Way::Withdrawn,
+        };
+        let cap = (news.cap.clamp(0.0, 1.0) * MILLION).round() as u32;
+        NewsMark { build: news.build, way, stage: news.stage, cap, since: (now - news.age).max(0.0) as u64 }
+    }
+
+    /// The state that a mark stands for, told at this moment.
+    pub fn news(&self, now: Ms) -> StageNews {
+        StageNews {
+            valid: true,
+            unsure: false,
+            answer: false,
+            build: self.build,
+            stage: self.stage,
+            phase: match self.way {
+                Way::OnTrial | Way::Condemned => Phase::OnTrial,
+                Way::Released => Phase::Released,
+                Way::GoingBack => Phase::GoingBack,
+                Way::Withdrawn => Phase::Withdrawn,
+            },
+            cap: f64::from(self.cap) / MILLION,
+            age: (now - self.since as Ms).max(0.0),
+        }
+    }
+
+    /// By build, way and stage. Within a stage by beginning; where those cannot be told apart the lower cap is
+    /// the newer one, for taking it wrongly for newer breaks no rule.
+    pub fn order(&self, other: &Self) -> Ordering {
+        let place = |mark: &Self| (mark.build, mark.way, mark.stage);
+        let apart = self.since.abs_diff(other.since) > SAME;
+        place(self).cmp(&place(other)).then(match apart {
+            true => self.since.cmp(&other.since),
+            false => other.cap.cmp(&self.cap),
+        })
+    }
+}
+
+/// A version of the list. Discovery counts anew after its own restart: that begins an epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ListMark {
+    pub epoch: u32,
+    pub version: u64,
+}
+
+/// What a handout is based on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Basis {
+    pub news: NewsMark,
+    pub list: ListMark,
+}
+
+impl Basis {
+    /// True where neither part is older than the other's.
+    pub fn covers(&self, other: &Self) -> bool {
+        self.news.order(&other.news) != Ordering::Less && self.list >= other.list
+    }
+
+    /// True where this is newer in a part, and older in none.
+    pub fn newer(&self, than: &Self) -> bool {
+        self.covers(than) && !than.covers(self)
+    }
+
+    /// The newer of each part.
+    pub fn join(&self, other: &Self) -> Self {
+        let news = if other.news.order(&self.news) == Ordering::Greater { other.news } else { self.news };
+        Basis { news, list: self.list.max(other.list) }
+    }
+}
+
+/// Makes labels and reads them.
+#[derive(Clone, Default)]
+pub struct Labels {
+    key: Option<Vec<u8>>,
+}
+
+impl std::fmt::Debug for Labels {
+    /// Never the key.
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.debug_struct("Labels").field("signed", &self.key.is_some()).finish()
+    }
+}
+
+/// What a label tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Label {
+    pub basis: Basis,
+    /// Tells apart contents on the same basis.
+    pub content: u64,
+    /// A service with the same key made it.
+    pub signed: bool,
+}
+
+impl Labels {
+    /// Labels signed with a key, or plain ones: then what a peer claims guards its own stream only.
+    pub fn new(key: Option<Vec<u8>>) -> Self {
+        Labels { key: key.filter(|key| !key.is_empty()) }
+    }
+
+    fn sign(&self, body: &str) -> Option<String> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(self.key.as_ref()?).ok()?;
+        mac.update(body.as_bytes());
+        let digits: String = mac.finalize().into_bytes().iter().map(|byte| format!("{byte:02x}")).collect();
+        Some(digits[..SIGNED].to_string())
+    }
+
+    /// The label of a content on a basis.
+    pub fn write(&self, basis: &Basis, content: u64) -> String {
+        let NewsMark { build, way, stage, cap, since } = basis.news;
+        let way = match way {
+            Way::OnTrial => 't',
+            Way::Condemned => 'c',
+            Way::Released => 'r',
+            Way::GoingBack => 'b',
+            Way::Withdrawn => 'w',
+        };
+        let ListMark { epoch, version } = basis.list;
+        let body = format!("b{build}.{way}{stage}.{cap}.{since}.l{epoch}.{version}.{content:016x}");
+        match self.sign(&body) {
+            Some(signature) => format!("{body}.{signature}"),
+            None => body,
+        }
+    }
+
+    /// What a label tells; none where it is no label of this form, or its signature is wrong.
+    pub fn read(&self, text: &str) -> Option<Label> {
+        if text.len() > LABEL_MOST || !text.is_ascii() {
+            return None;
+        }
+        let parts: Vec<&str> = text.split('.').collect();
+        let (body, signature) = match parts.len() {
+            7 => (text, None),
+            8 => text.rsplit_once('.').map(|(body, signature)| (body, Some(signature)))?,
+            _ => return None,
+        };
+        // A wrong signature is a forgery; one that cannot be checked tells no more than a plain label.
+        let signed = match (signature, self.sign(body)) {
+            (Some(given), Some(own)) if given.len() == SIGNED => {
+                let differ = given.bytes().zip(own.bytes()).fold(0, |differ, (a, b)| differ | (a ^ b));
+                if differ != 0 {
+                    return None;
+                }
+                true
+            }
+            (Some(given), None) if given.len() == SIGNED => false,
+            (None, _) => false,
+            _ => return None,
+        };
+        let way = match parts[1].chars().next()? {
+            't' => Way::OnTrial,
+            'c' => Way::Condemned,
+            'r' => Way::Released,
+            'b' => Way::GoingBack,
+            'w' => Way::Withdrawn,
+            _ => return None,
+        };
+        let news = NewsMark {
+            build: parts[0].strip_prefix('b')?.parse().ok()?,
+            way,
+            stage: parts[1].get(1..)?.parse().ok()?,
+            cap: parts[2].parse().ok().filter(|cap| *cap <= MILLION as u32)?,
+            since: parts[3].parse().ok()?,
+        };
+        let epoch = parts[4].strip_prefix('l')?.parse().ok()?;
+        let list = ListMark { epoch, version: parts[5].parse().ok()? };
+        let content = (parts[6].len() == 16).then(|| u64::from_str_radix(parts[6], 16).ok())??;
+        Some(Label { basis: Basis { news, list }, content, signed })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn mark() -> impl Strategy<Value = NewsMark> {
+        let ways = prop_oneof![
+            Just(Way::OnTrial),
+            Just(Way::Condemned),
+            Just(Way::Released),
+            Just(Way::GoingBack),
+            Just(Way::Withdrawn)
+        ];
+        (0u32..4, ways, 0u32..4, 0u32..=1_000_000, 0u64..20_000)
+            .prop_map(|(build, way, stage, cap, since)| NewsMark { build, way, stage, cap, since })
+    }
+
+    fn basis() -> impl Strategy<Value = Basis> {
+        (mark(), 0u32..3, 0u64..9)
+            .prop_map(|(news, epoch, version)| Basis { news, list: ListMark { epoch, version } })
+    }
+
+    proptest! {
+        #[test]
+        fn a_label_tells_what_it_was_made_of(basis in basis(), content: u64, key in "[a-z]{0,9}") {
+            let labels = Labels::new(Some(key.clone().into_bytes()));
+            let read = labels.read(&labels.write(&basis, content));
+            prop_assert_eq!(read, Some(Label { basis, content, signed: !key.is_empty() }));
+        }
+
+        #[test]
+        fn no_text_is_taken_for_signed(text in ".{0,200}", basis in basis(), at in 0usize..80, to in "[0-9a-z]") {
+            let labels = Labels::new(Some(b"key".to_vec()));
+            prop_assert!(labels.read(&text).is_none_or(|label| !label.signed));
+            let mut forged = labels.write(&basis, 7);
+            let at = at % forged.len();
+            forged.replace_range(at..=at, &to);
+            let changed = forged != labels.write(&basis, 7);
+            prop_assert!(!changed || labels.read(&forged).is_none_or(|label| !label.signed));
+        }
+
+        #[test]
+        fn a_join_covers_both_and_nothing_is_newer_than_itself(a in basis(), b in basis()) {
+            prop_assert!(a.join(&b).covers(&a) && a.join(&b).covers(&b));
+            prop_assert!(!a.newer(&a));
+            prop_assert!(!a.newer(&b) || !b.newer(&a));
+        }
+    }
+
+    #[test]
+    fn later_ways_of_a_build_are_newer_however_old_their_beginning() {
+        let on = NewsMark { build: 4, way: Way::OnTrial, stage: 3, cap: 1_000_000, since: 90_000 };
+        let ways = [Way::Condemned, Way::Released, Way::GoingBack, Way::Withdrawn];
+        for way in ways {
+            assert_eq!(NewsMark { way, stage: 0, cap: 0, since: 0, ..on }.order(&on), Ordering::Greater);
+        }
+        assert_eq!(NewsMark { build: 5, stage: 0, since: 0, ..on }.order(&on), Ordering::Greater);
+        // At the same stage: the cap fell, told a moment apart on two clocks; then rose again much later.
+        let fell = NewsMark { cap: 0, since: 89_500, ..on };
+        assert_eq!(fell.order(&on), Ordering::Greater);
+        assert_eq!(NewsMark { since: 120_000, ..on }.order(&fell), Ordering::Greater);
+    }
+}
--- /dev/null
+++ b/crates/handout/src/world.rs
@@ -0,0 +1,250 @@
+//! How far the world is known to be, and whether anything may be handed out at all.
+//!
+//! The list comes from discovery, states of the newest build from the platform, and both as evidence from what
+//! proxies hold and from what was kept on disk. No state that is older than one known is taken over, and nothing is
+//! handed out before the list was heard whole and the platform has told how the newest build stands, each at least
+//! as far as what is known to have been handed out.
+
+use crate::order::{Basis, Label, ListMark, NewsMark};
+use latchhaven::api::{Build, Ms, StageNews};
+use std::cmp::Ordering;
+use std::collections::BTreeSet;
+
+/// Withdrawn builds that are remembered: instances of older ones have long been replaced.
+const WITHDRAWN_KEPT: usize = 64;
+/// A list that stays behind what is known for so many ms, while discovery answers, counts anew: discovery itself was
+/// restarted. A copy that lags catches up much sooner.
+const COUNTS_ANEW: Ms = 60_000.0;
+/// Evidence may be ahead of this service's own clock by so many ms at most: clocks differ, but not by more.
+const AHEAD: Ms = 60_000.0;
+
+/// What is known.
+#[derive(Clone, Debug, Default)]
+pub struct World {
+    news: Option<NewsMark>,
+    /// The platform itself has told, in this life, a state at least as far.
+    told: bool,
+    /// The list now held, if one was heard whole in this life.
+    list: Option<ListMark>,
+    /// The furthest list known of.
+    furthest: ListMark,
+    /// Since when whole lists were behind that, without a break.
+    behind: Option<Ms>,
+    withdrawn: BTreeSet<Build>,
+}
+
+/// What becomes of a list that was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It holds from now on.
+    Taken,
+    /// It is older than what is known: the earlier one stays.
+    Older,
+}
+
+impl World {
+    /// Begins from what was kept: nothing is handed out that is older.
+    pub fn since(kept: Option<Basis>, withdrawn: impl IntoIterator<Item = Build>) -> Self {
+        let mut world = World { withdrawn: withdrawn.into_iter().collect(), ..World::default() };
+        if let Some(kept) = kept {
+            (world.news, world.furthest) = (Some(kept.news), kept.list);
+        }
+        world
+    }
+
+    /// What the platform tells. The state to go on with, if it is not older than the one known.
+    pub fn platform(&mut self, news: &StageNews, condemned: bool, now: Ms) -> Option<StageNews> {
+        let mark = NewsMark::of(news, condemned, now);
+        match self.news {
+            Some(known) => match mark.order(&known) {
+                Ordering::Less => return None,
+                // A beginning that was labelled once stays: labels of one state do not drift apart.
+                Ordering::Equal => self.told = true,
+                Ordering::Greater => self.take(mark),
+            },
+            None => self.take(mark),
+        }
+        self.told = true;
+        Some(news.clone())
+    }
+
+    /// The newest build was found bad here: from now on it is so for all who are told.
+    pub fn condemn(&mut self) {
+        if let Some(known) = self.news {
+            let mark = NewsMark { way: known.way.max(crate::order::Way::Condemned), ..known };
+            self.news = Some(mark);
+        }
+    }
+
+    /// What a peer holds. A signed label tells how far the world is; the state to go on with, if it was not known.
+    pub fn evidence(&mut self, label: &Label, now: Ms) -> Option<StageNews> {
+        let Basis { news, list } = label.basis;
+        // A state that has yet to begin cannot have been handed out.
+        if !label.signed || news.since as Ms > now + AHEAD {
+            return None;
+        }
+        self.furthest = self.furthest.max(list);
+        let newer = self.news.is_none_or(|known| news.order(&known) == Ordering::Greater);
+        newer.then(|| {
+            self.take(news);
+            news.news(now)
+        })
+    }
+
+    fn take(&mut self, mark: NewsMark) {
+        if mark.way == crate::order::Way::Withdrawn {
+            self.withdrawn.insert(mark.build);
+            while self.withdrawn.len() > WITHDRAWN_KEPT {
+                self.withdrawn.pop_first();
+            }
+        }
+        self.news = Some(mark);
+    }
+
+    /// A list that discovery told. Changes build upon the list held; only a whole one begins.
+    pub fn list(&mut self, version: u64, whole: bool, now: Ms) -> Heard {
+        let Some(held) = self.list.filter(|_| !whole) else {
+            return if whole { self.whole(version, now) } else { Heard::Older };
+        };
+        let mark = ListMark { version, ..held };
+        if mark < held {
+            return Heard::Older;
+        }
+        (self.list, self.furthest) = (Some(mark), self.furthest.max(mark));
+        Heard::Taken
+    }
+
+    fn whole(&mut self, version: u64, now: Ms) -> Heard {
+        let here = ListMark { epoch: self.furthest.epoch, version };
+        if here >= self.furthest {
+            (self.list, self.furthest, self.behind) = (Some(here), here, None);
+            return Heard::Taken;
+        }
+        let since = *self.behind.get_or_insert(now);
+        if now - since < COUNTS_ANEW {
+            // Held all the same where nothing was: it may be watched until it has caught up.
+            let first = self.list.is_none();
+            self.list = self.list.or(Some(here));
+            return if first { Heard::Taken } else { Heard::Older };
+        }
+        let anew = ListMark { epoch: here.epoch + 1, version };
+        (self.list, self.furthest, self.behind) = (Some(anew), anew, None);
+        Heard::Taken
+    }
+
+    /// A watch or call failed: what was behind may have caught up unseen.
+    pub fn list_failed(&mut self) {
+        self.behind = None;
+    }
+
+    /// The state that is known, told or not.
+    pub fn news(&self) -> Option<NewsMark> {
+        self.news
+    }
+
+    /// Builds that were withdrawn.
+    pub fn withdrawn(&self) -> &BTreeSet<Build> {
+        &self.withdrawn
+    }
+
+    /// What a handout made now is based on; none while none may be made, and why.
+    pub fn basis(&self) -> Result<Basis, &'static str> {
+        let list = self.list.ok_or("the list was not heard whole yet")?;
+        let news =
+            self.news.filter(|_| self.told).ok_or("the platform has not told the newest build's state")?;
+        if list < self.furthest {
+            return Err("the list is older than one that was handed out");
+        }
+        Ok(Basis { news, list })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::order::{Labels, Way};
+    use latchhaven::api::Phase;
+    use proptest::prelude::*;
+
+    fn state(build: Build, stage: u32, phase: Phase, cap: f64) -> StageNews {
+        StageNews { valid: true, unsure: false, answer: false, build, stage, phase, cap, age: 0.0 }
+    }
+
+    #[test]
+    fn nothing_goes_out_before_list_and_platform_are_as_far_as_what_was_kept() {
+        let news = NewsMark { build: 7, way: Way::Withdrawn, stage: 1, cap: 0, since: 5_000 };
+        let kept = Basis { news, list: ListMark { epoch: 0, version: 40 } };
+        let mut world = World::since(Some(kept), [7]);
+        assert!(world.basis().is_err());
+        // The list is 30 s old, and the platform's replica too.
+        assert_eq!(world.list(31, true, 9_000.0), Heard::Taken);
+        assert!(world.platform(&state(7, 1, Phase::OnTrial, 0.5), false, 9_000.0).is_none());
+        assert!(world.basis().is_err());
+        assert!(world.platform(&state(7, 1, Phase::Withdrawn, 0.0), false, 9_500.0).is_some());
+        assert!(world.basis().is_err());
+        assert_eq!(world.list(41, false, 10_000.0), Heard::Taken);
+        assert_eq!(world.basis().map(|basis| basis.list.version), Ok(41));
+        assert!(world.withdrawn().contains(&7));
+    }
+
+    #[test]
+    fn a_peer_that_holds_more_tells_of_it_only_with_a_signature() {
+        let labels = Labels::new(Some(b"site".to_vec()));
+        let news = NewsMark { build: 9, way: Way::GoingBack, stage: 2, cap: 0, since: 1_000 };
+        let basis = Basis { news, list: ListMark { epoch: 0, version: 12 } };
+        let mut world = World::default();
+        world.list(11, true, 2_000.0);
+        world.platform(&state(9, 2, Phase::OnTrial, 0.5), false, 2_000.0);
+        assert!(world.basis().is_ok());
+        let plain = Labels::default().read(&Labels::default().write(&basis, 0)).unwrap();
+        assert!(world.evidence(&plain, 2_000.0).is_none() && world.basis().is_ok());
+        let signed = labels.read(&labels.write(&basis, 0)).unwrap();
+        assert_eq!(world.evidence(&signed, 2_000.0).map(|news| news.phase), Some(Phase::GoingBack));
+        assert!(world.basis().is_err(), "its list is behind");
+        assert!(world.platform(&state(9, 2, Phase::OnTrial, 0.5), false, 2_100.0).is_none());
+    }
+
+    #[test]
+    fn a_list_that_stays_behind_while_discovery_answers_counts_anew() {
+        let mut world = World::default();
+        world.list(500, true, 0.0);
+        world.platform(&state(1, 0, Phase::Released, 1.0), false, 0.0);
+        assert_eq!(world.list(3, true, 1_000.0), Heard::Older);
+        assert_eq!(world.list(4, true, 50_000.0), Heard::Older);
+        world.list_failed();
+        assert_eq!(world.list(4, true, 62_000.0), Heard::Older, "a break begins the count again");
+        assert_eq!(world.list(5, true, 122_001.0), Heard::Taken);
+        assert_eq!(world.basis().map(|basis| basis.list), Ok(ListMark { epoch: 1, version: 5 }));
+    }
+
+    proptest! {
+        /// Over any news, lists and evidence the basis only ever moves on.
+        #[test]
+        fn no_basis_is_followed_by_one_that_does_not_cover_it(
+            steps in prop::collection::vec((0u8..4, 0u32..3, 0u32..3, 0u8..4, 0u64..6, 0u32..=2), 1..60)
+        ) {
+            let labels = Labels::new(Some(b"k".to_vec()));
+            let (mut world, mut last, mut now): (World, Option<Basis>, Ms) = (World::default(), None, 10_000.0);
+            for (kind, build, stage, phase, version, cap) in steps {
+                now += 700.0;
+                let phase = [Phase::OnTrial, Phase::Released, Phase::GoingBack, Phase::Withdrawn][phase as usize];
+                let news = state(build, stage, phase, f64::from(cap) / 2.0);
+                match kind {
+                    0 => drop(world.platform(&news, false, now)),
+                    1 => drop(world.list(version, true, now)),
+                    2 => drop(world.list(version, false, now)),
+                    _ => {
+                        let list = ListMark { epoch: 0, version };
+                        let basis = Basis { news: NewsMark::of(&news, false, now), list };
+                        let label = labels.read(&labels.write(&basis, 1)).unwrap();
+                        world.evidence(&label, now);
+                    }
+                }
+                if let Ok(basis) = world.basis() {
+                    prop_assert!(last.is_none_or(|last| basis.covers(&last)), "{basis:?} after {last:?}");
+                    last = Some(basis);
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/stories.rs
+++ b/crates/program/tests/stories.rs
@@ -1,15 +1,13 @@
 //! Stories over loopback: the gateway's program between stand-ins, one for each failure.
 
-mod standins;
-
 use bytes::Bytes;
 use latchhaven::api::{Connections, Ending, Listing, Reports};
 use latchhaven_gateway::net::list::read as read_list;
 use latchhaven_gateway::net::servers::{Errand, Pool, Stopped};
 use latchhaven_gateway::net::{Note, write_all};
+use latchhaven_standins::wire::*;
 use rstest::rstest;
 use serde_json::{Value, json};
-use standins::*;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::atomic::Ordering::SeqCst;
@@ -873,7 +871,7 @@
     for (path, said) in
         [(None, "BALANCER_CONFIG: not set"), (Some("/nowhere/at/all"), "BALANCER_CONFIG: /nowhere/at/all")]
     {
-        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_latchhaven"));
+        let mut command = std::process::Command::new(program());
         let out = command.env_clear().envs(path.map(|path| ("BALANCER_CONFIG", path))).output().unwrap();
         let lines = String::from_utf8(out.stderr).unwrap();
         assert_eq!((out.status.code(), lines.lines().count()), (Some(1), 1));
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-ins on loopback, for tests, the demonstration and the lab.
+//!
+//! - [`wire`]: hosts, list, platform and clients on PostgreSQL's protocol, and the program as a child.
+//! - [`site`]: a list and a platform that hold a state, tell it, and take votes.
+//! - [`cache`]: what a proxy that speaks xDS holds, as real ones do; pure.
+//! - [`proxy`]: such a proxy on a socket.
+
+pub mod cache;
+pub mod proxy;
+pub mod site;
+pub mod wire;
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/standins/src/wire.rs
@@ -1,8 +1,9 @@
-//! Small stand-ins on loopback: servers, the list, the platform, and clients; and the gateway's program.
+//! Small stand-ins on loopback: servers, the list, the platform, and clients; and the program itself as a child.
 
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
@@ -376,16 +377,27 @@
     pub platform: Service,
 }
 
+/// The program beside this one: tests lie in a folder below it, other binaries next to it.
+///
+/// # Panics
+/// Where none has been built.
+pub fn program() -> PathBuf {
+    let here = std::env::current_exe().expect("a path of its own");
+    let found = here.ancestors().skip(1).take(2).map(|folder| folder.join("latchhaven"));
+    found.into_iter().find(|path| path.is_file()).expect("the program latchhaven is built first")
+}
+
 static STARTED: AtomicU32 = AtomicU32::new(0);
 
 /// Starts the program with a configuration; what it logs can be read as it comes.
 pub fn spawn(config: &str) -> (Child, Arc<Mutex<Vec<String>>>, Arc<AtomicBool>, String) {
     let number = STARTED.fetch_add(1, SeqCst);
-    let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    let folder = std::env::temp_dir();
+    let path = format!("{}/latchhaven-{}-{number}.json", folder.display(), std::process::id());
     std::fs::write(&path, config).unwrap();
     // Both streams go to one pipe, as where they are one log.
     let mut command = Command::new("/bin/sh");
-    command.args(["-c", "exec \"$0\" 1>&2", env!("CARGO_BIN_EXE_latchhaven")]);
+    command.args(["-c", "exec \"$0\" 1>&2"]).arg(program());
     command.env_clear().env("BALANCER_CONFIG", &path);
     // As where the machine gives what the file says as well.
     if let Some(at) =
--- a/crates/wire/src/terms.rs
+++ b/crates/wire/src/terms.rs
@@ -340,10 +340,32 @@
         products.collect()
     }
 
+    /// What bounds a front that hands decisions on: exposure, cold starts, and submissions of a txn.
+    pub fn bounds(&self) -> (api::ExposureTerms, api::ColdStart, usize) {
+        let ms = |seconds: f64| seconds * MS_PER_S;
+        let (domain, rules) = (&self.domain, &self.rules);
+        let exposure = api::ExposureTerms {
+            free: domain.allowance,
+            caps: domain.caps.clone(),
+            window: ms(domain.window),
+            by_product: domain.counts == Counts::PerLane,
+            closed_stages: domain.closed_stages,
+            no_return: domain.no_return,
+        };
+        let cold = api::ColdStart {
+            from: rules.cold_from,
+            warm_up: ms(rules.warm_up),
+            multiple: rules.tip_multiple,
+            span: ms(rules.fall),
+        };
+        (exposure, cold, self.permissions.try_limit)
+    }
+
     /// Starts the decisions of one instance.
     pub fn start(self, seed: u64) -> Choice {
         let ms = |seconds: f64| seconds * MS_PER_S;
         let products = self.products();
+        let (exposure, cold, _) = self.bounds();
         let Terms { domain, rules, permissions, .. } = self;
         Choice::new(
             seed,
@@ -362,20 +384,8 @@
                 ask_within: ms(rules.ask_within),
                 drain_grace: ms(rules.drain_grace),
             },
-            api::ColdStart {
-                from: rules.cold_from,
-                warm_up: ms(rules.warm_up),
-                multiple: rules.tip_multiple,
-                span: ms(rules.fall),
-            },
-            api::ExposureTerms {
-                free: domain.allowance,
-                caps: domain.caps,
-                window: ms(domain.window),
-                by_product: domain.counts == Counts::PerLane,
-                closed_stages: domain.closed_stages,
-                no_return: domain.no_return,
-            },
+            cold,
+            exposure,
             api::VoteTerms {
                 mode: match domain.vote_mode {
                     VoteMode::Single => api::VoteMode::Single,
--- /dev/null
+++ b/crates/xds/src/admission.rs
@@ -0,0 +1,138 @@
+//! When streams may begin. A crowd that returns all at once is let in at a bounded rate, while those that are served
+//! already go on being served; what waits is bounded, and each waits its turn.
+
+use latchhaven::api::Ms;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Streams that begin per ms at most: each costs a whole state, some tens of KiB, so that a second of it is some MiB.
+const RATE: f64 = 1.0;
+/// Streams that may begin at once.
+const BURST: f64 = 50.0;
+/// ms after which a proxy's next stream counts as its usual one: sooner, it waits behind those that come once.
+const OFTEN: Ms = 1_000.0;
+/// Proxies whose last beginning is remembered.
+const KEPT: usize = 10_000;
+
+/// A beginning that was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Knock {
+    /// It waits for its turn.
+    Waits,
+    /// There are too many: come again later.
+    Full,
+}
+
+/// Who waits, and who began when.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    most: usize,
+    open: usize,
+    saved: f64,
+    at: Option<Ms>,
+    waiting: VecDeque<u64>,
+    /// Those that come again and again: only when nobody else waits.
+    again: VecDeque<u64>,
+    begun: BTreeMap<String, Ms>,
+}
+
+impl Admission {
+    /// Holds so many streams at most, waiting or open.
+    pub fn new(most: usize) -> Self {
+        let (waiting, again, begun) = Default::default();
+        Admission { most, open: 0, saved: BURST, at: None, waiting, again, begun }
+    }
+
+    /// A stream of a proxy wants to begin.
+    pub fn knock(&mut self, stream: u64, proxy: &str, now: Ms) -> Knock {
+        if self.open + self.waiting.len() + self.again.len() >= self.most {
+            return Knock::Full;
+        }
+        let often = self.begun.get(proxy).is_some_and(|last| now - last < OFTEN);
+        if often {
+            self.again.push_back(stream)
+        } else {
+            self.waiting.push_back(stream)
+        }
+        if self.begun.len() >= KEPT && !self.begun.contains_key(proxy) {
+            self.begun.retain(|_, last| now - *last < OFTEN);
+        }
+        if self.begun.len() < KEPT || self.begun.contains_key(proxy) {
+            self.begun.insert(proxy.to_string(), now);
+        }
+        Knock::Waits
+    }
+
+    /// Those whose turn it is.
+    pub fn turn(&mut self, now: Ms) -> Vec<u64> {
+        let since = now - self.at.replace(now).unwrap_or(now);
+        self.saved = (self.saved + RATE * since.max(0.0)).min(BURST);
+        let mut begin = Vec::new();
+        while self.saved >= 1.0 {
+            let Some(stream) = self.waiting.pop_front().or_else(|| self.again.pop_front()) else { break };
+            (self.saved, self.open) = (self.saved - 1.0, self.open + 1);
+            begin.push(stream);
+        }
+        begin
+    }
+
+    /// Somebody waits.
+    pub fn waits(&self) -> bool {
+        !self.waiting.is_empty() || !self.again.is_empty()
+    }
+
+    /// A stream ended, begun or not.
+    pub fn over(&mut self, stream: u64) {
+        let before = self.waiting.len() + self.again.len();
+        self.waiting.retain(|waiting| *waiting != stream);
+        self.again.retain(|waiting| *waiting != stream);
+        if before == self.waiting.len() + self.again.len() {
+            self.open = self.open.saturating_sub(1);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn a_crowd_begins_at_the_rate_and_one_that_comes_again_and_again_waits_longest() {
+        let mut door = Admission::new(10_000);
+        for stream in 0..1000 {
+            let proxy = if stream < 500 { "noisy".to_string() } else { format!("p{stream}") };
+            assert_eq!(door.knock(stream, &proxy, 0.0), Knock::Waits);
+        }
+        let first: Vec<u64> = (0..=460).flat_map(|ms| door.turn(f64::from(ms))).collect();
+        assert!(first.len() >= 505 && first.len() <= 512, "{}", first.len());
+        assert!(first[1..500].iter().all(|stream| *stream >= 500), "one noisy proxy starves nobody");
+    }
+
+    proptest! {
+        #[test]
+        fn never_more_than_the_most_nor_faster_than_the_rate(
+            steps in prop::collection::vec((0u8..3, 0u64..40, 0u8..6), 0..300)
+        ) {
+            let (mut door, mut now, mut begun, mut next) = (Admission::new(30), 0.0, Vec::new(), 0);
+            let mut total = 0.0;
+            for (kind, pick, proxy) in steps {
+                match kind {
+                    0 => {
+                        next += 1;
+                        door.knock(next, &format!("p{proxy}"), now);
+                    }
+                    1 => {
+                        now += pick as f64;
+                        let new = door.turn(now);
+                        total += new.len() as f64;
+                        begun.extend(new);
+                    }
+                    _ if !begun.is_empty() => door.over(begun.swap_remove(pick as usize % begun.len())),
+                    _ => {}
+                }
+                prop_assert!(begun.len() == door.open && door.open + door.waiting.len() + door.again.len() <= 30);
+                prop_assert!(total <= BURST + RATE * now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/xds/src/lib.rs
@@ -0,0 +1,16 @@
+//! xDS: the resources of a handout, streams as state machines, and thin gRPC drivers round them.
+//!
+//! - [`resources`]: a handout as clusters, endpoints, listeners and routes, each encoded once a version.
+//! - [`stream`]: one stream of one proxy, pure: what it asks, what it holds, what it is sent next.
+//! - [`admission`]: when a stream may begin, pure: known proxies first, the rest at a bounded rate.
+//! - [`loads`]: load reports read into figures, pure.
+//! - [`server`]: the gRPC driver. It decides nothing.
+
+pub mod admission;
+pub mod codec;
+pub mod loads;
+pub mod resources;
+pub mod server;
+pub mod stream;
+
+pub use envoy_types::pb;
--- /dev/null
+++ b/crates/xds/src/resources.rs
@@ -0,0 +1,512 @@
+//! A handout as resources of xDS. Each is encoded once and shared by all streams; one whose bytes do not change keeps
+//! its label, so that nobody is sent it anew.
+
+use crate::pb::envoy::config::cluster::v3 as cluster;
+use crate::pb::envoy::config::core::v3 as core;
+use crate::pb::envoy::config::endpoint::v3 as endpoint;
+use crate::pb::envoy::config::listener::v3 as listener;
+use crate::pb::envoy::config::route::v3 as route;
+use crate::pb::envoy::extensions::filters::http::router::v3::Router;
+use crate::pb::envoy::extensions::filters::network::http_connection_manager::v3 as manager;
+use crate::pb::envoy::r#type::v3 as kinds;
+use crate::pb::google::protobuf::{Any, Duration, UInt32Value};
+use bytes::{BufMut, Bytes, BytesMut};
+use latchhaven::api::{Build, Effect, Ms, Product};
+use latchhaven_handout::handout::{Cluster, Handout, Health, Host, Repeat, Route, Target};
+use latchhaven_handout::ledger::Shares;
+use latchhaven_handout::order::{Basis, Labels};
+use latchhaven_handout::shares::MILLION;
+use prost::Message;
+use prost::encoding::{WireType, encode_key, encode_varint};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Names that every proxy is given.
+pub const LISTENER: &str = "latchhaven";
+pub const ROUTES: &str = "latchhaven";
+/// The cluster without hosts: what goes there is declined at once, and never ran anywhere.
+pub const DECLINE: &str = "decline";
+/// The collection that a build's hosts of one zone are in, where hosts are resources of their own.
+const COLLECTION: &str = "xdstp:///envoy.config.endpoint.v3.LbEndpoint/";
+
+/// A type of resource, in the order that makes before it breaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    Cluster,
+    Endpoint,
+    Host,
+    Listener,
+    Route,
+}
+
+impl Kind {
+    pub const ALL: [Kind; 5] = [Kind::Cluster, Kind::Endpoint, Kind::Host, Kind::Listener, Kind::Route];
+
+    pub fn url(self) -> &'static str {
+        match self {
+            Kind::Cluster => "type.googleapis.com/envoy.config.cluster.v3.Cluster",
+            Kind::Endpoint => "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
+            Kind::Host => "type.googleapis.com/envoy.config.endpoint.v3.LbEndpoint",
+            Kind::Listener => "type.googleapis.com/envoy.config.listener.v3.Listener",
+            Kind::Route => "type.googleapis.com/envoy.config.route.v3.RouteConfiguration",
+        }
+    }
+
+    pub fn of(url: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|kind| kind.url() == url)
+    }
+
+    /// Clients that name nothing get all of these.
+    pub fn wild(self) -> bool {
+        matches!(self, Kind::Cluster | Kind::Listener)
+    }
+}
+
+/// One resource, encoded.
+#[derive(Debug)]
+pub struct Resource {
+    pub name: String,
+    pub label: String,
+    /// Of its bytes: the same at every service.
+    pub hash: u64,
+    /// Names of what it refers to: a route its clusters, a cluster its endpoints.
+    pub refers: BTreeSet<String>,
+    /// As a field `resources` of a whole answer, and of an incremental one.
+    pub whole: Bytes,
+    pub apart: Bytes,
+}
+
+/// The resources of one type, by name.
+pub type Set = BTreeMap<String, Arc<Resource>>;
+
+/// What all proxies are to hold, at one moment.
+#[derive(Debug)]
+pub struct Snapshot {
+    pub basis: Basis,
+    /// Counts the snapshots of this process.
+    pub number: u64,
+    pub trial: Shares,
+    sets: BTreeMap<(Kind, bool), (String, Arc<Set>)>,
+}
+
+/// What proxies are told beside the handout.
+#[derive(Clone, Debug)]
+pub struct Front {
+    pub listener: SocketAddr,
+    pub product_header: String,
+    pub key_header: String,
+    pub connect_within: Ms,
+    /// Incremental streams get each host as a resource of its own.
+    pub hosts_apart: bool,
+}
+
+impl Snapshot {
+    /// The resources of a type, as incremental streams get them or others; and the label of them all.
+    pub fn set(&self, kind: Kind, incremental: bool) -> (&str, &Arc<Set>) {
+        let found = self.sets.get(&(kind, incremental)).or_else(|| self.sets.get(&(kind, false)));
+        let (label, set) = found.expect("every type has its set");
+        (label, set)
+    }
+
+    /// The snapshot of a handout; what has not changed since an earlier one stays as it was.
+    pub fn make(
+        handout: &Handout, basis: Basis, products: &[Product], front: &Front, labels: &Labels,
+        earlier: Option<&Snapshot>,
+    ) -> Snapshot {
+        let mut made: Vec<((Kind, bool), Vec<Raw>)> = vec![
+            ((Kind::Cluster, false), clusters(handout, products, front)),
+            ((Kind::Listener, false), vec![listener(front)]),
+            ((Kind::Route, false), vec![routes(handout, products, front)]),
+            ((Kind::Endpoint, false), endpoints(handout, false)),
+            ((Kind::Host, false), Vec::new()),
+        ];
+        if front.hosts_apart {
+            made.push(((Kind::Endpoint, true), endpoints(handout, true)));
+            made.push(((Kind::Host, true), hosts_apart(handout)));
+        }
+        let sets = made.into_iter().map(|((kind, apart), raws)| {
+            let before = earlier.and_then(|earlier| earlier.sets.get(&(kind, apart)));
+            let mut set = Set::new();
+            for raw in raws {
+                let hash = hash(&raw.bytes);
+                let same = before.and_then(|(_, set)| set.get(&raw.name)).filter(|held| held.hash == hash);
+                let resource = match same {
+                    Some(held) => held.clone(),
+                    None => Arc::new(encode(kind, raw, hash, labels.write(&basis, hash))),
+                };
+                set.insert(resource.name.clone(), resource);
+            }
+            let all: Vec<u8> = set.values().flat_map(|resource| resource.hash.to_be_bytes()).collect();
+            let held = before.filter(|(_, held)| {
+                held.len() == set.len()
+                    && held.iter().all(|(name, held)| set.get(name).is_some_and(|new| new.hash == held.hash))
+            });
+            let entry = match held {
+                Some((label, held)) => (label.clone(), held.clone()),
+                None => (labels.write(&basis, hash(&all)), Arc::new(set)),
+            };
+            ((kind, apart), entry)
+        });
+        let sets: BTreeMap<_, _> = sets.collect();
+        let number = earlier.map_or(0, |earlier| earlier.number) + 1;
+        Snapshot { basis, number, trial: handout.trial.clone(), sets }
+    }
+
+    /// True where nothing that a proxy holds would change.
+    pub fn same(&self, other: &Snapshot) -> bool {
+        self.sets.iter().all(|(at, (label, _))| other.sets.get(at).is_some_and(|(other, _)| label == other))
+    }
+}
+
+/// A resource before it is encoded in its wrappings.
+struct Raw {
+    name: String,
+    refers: BTreeSet<String>,
+    bytes: Vec<u8>,
+}
+
+/// FNV-1a of 64 bits: tells contents apart, and is the same everywhere. Labels are signed by other means.
+fn hash(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// One field of a message that holds bytes.
+fn field(tag: u32, bytes: &[u8], out: &mut BytesMut) {
+    encode_key(tag, WireType::LengthDelimited, out);
+    encode_varint(bytes.len() as u64, out);
+    out.put_slice(bytes);
+}
+
+fn encode(kind: Kind, raw: Raw, hash: u64, label: String) -> Resource {
+    let any = Any { type_url: kind.url().to_string(), value: raw.bytes }.encode_to_vec();
+    // DiscoveryResponse.resources is field 2, and so is DeltaDiscoveryResponse.resources.
+    let mut whole = BytesMut::with_capacity(any.len() + 8);
+    field(2, &any, &mut whole);
+    let mut inner = BytesMut::with_capacity(any.len() + raw.name.len() + label.len() + 16);
+    field(1, label.as_bytes(), &mut inner);
+    field(2, &any, &mut inner);
+    field(3, raw.name.as_bytes(), &mut inner);
+    let mut apart = BytesMut::with_capacity(inner.len() + 8);
+    field(2, &inner, &mut apart);
+    let Raw { name, refers, .. } = raw;
+    Resource { name, label, hash, refers, whole: whole.freeze(), apart: apart.freeze() }
+}
+
+/// The name of the cluster in which one product's txns go to one build.
+pub fn cluster_name(build: Build, product: &str) -> String {
+    format!("b{build}/{product}")
+}
+
+/// The name of a build's endpoints.
+pub fn endpoints_name(build: Build) -> String {
+    format!("b{build}")
+}
+
+/// The build and product that a cluster's name tells.
+pub fn cluster_of(name: &str, products: &[String]) -> Option<(Build, usize)> {
+    let (build, product) = name.strip_prefix('b')?.split_once('/')?;
+    Some((build.parse().ok()?, products.iter().position(|known| known == product)?))
+}
+
+fn any(url: &str, message: &impl Message) -> Any {
+    Any { type_url: format!("type.googleapis.com/{url}"), value: message.encode_to_vec() }
+}
+
+fn number(value: u32) -> Option<UInt32Value> {
+    Some(UInt32Value { value })
+}
+
+fn span(ms: Ms) -> Option<Duration> {
+    let nanos = (ms.max(0.0) * 1e6) as i64;
+    Some(Duration { seconds: nanos / 1_000_000_000, nanos: (nanos % 1_000_000_000) as i32 })
+}
+
+fn ads() -> core::ConfigSource {
+    let ads = core::config_source::ConfigSourceSpecifier::Ads(core::AggregatedConfigSource {});
+    core::ConfigSource {
+        resource_api_version: core::ApiVersion::V3 as i32,
+        config_source_specifier: Some(ads),
+        ..core::ConfigSource::default()
+    }
+}
+
+fn address(addr: SocketAddr) -> core::Address {
+    let port = core::socket_address::PortSpecifier::PortValue(u32::from(addr.port()));
+    let socket = core::SocketAddress {
+        address: addr.ip().to_string(),
+        port_specifier: Some(port),
+        ..core::SocketAddress::default()
+    };
+    core::Address { address: Some(core::address::Address::SocketAddress(socket)) }
+}
+
+fn clusters(handout: &Handout, products: &[Product], front: &Front) -> Vec<Raw> {
+    let made = handout.clusters.iter().map(|cluster| one_cluster(cluster, products, front));
+    let decline = cluster::Cluster {
+        name: DECLINE.to_string(),
+        connect_timeout: span(front.connect_within),
+        cluster_discovery_type: Some(cluster::cluster::ClusterDiscoveryType::Type(
+            cluster::cluster::DiscoveryType::Static as i32,
+        )),
+        ..cluster::Cluster::default()
+    };
+    let decline = Raw { name: DECLINE.to_string(), refers: BTreeSet::new(), bytes: decline.encode_to_vec() };
+    made.chain([decline]).collect()
+}
+
+fn one_cluster(told: &Cluster, products: &[Product], front: &Front) -> Raw {
+    let (name, service) =
+        (cluster_name(told.build, &products[told.product].name), endpoints_name(told.build));
+    let thresholds = cluster::circuit_breakers::Thresholds {
+        max_requests: number(told.in_flight),
+        max_pending_requests: number(told.in_flight),
+        // While a cap counts every submission nothing is repeated there; else repeats are a part of what is out.
+        max_retries: if told.repeats { number((told.in_flight / 8).max(1)) } else { number(0) },
+        ..Default::default()
+    };
+    let made = cluster::Cluster {
+        name: name.clone(),
+        connect_timeout: span(front.connect_within),
+        cluster_discovery_type: Some(cluster::cluster::ClusterDiscoveryType::Type(
+            cluster::cluster::DiscoveryType::Eds as i32,
+        )),
+        eds_cluster_config: Some(cluster::cluster::EdsClusterConfig {
+            eds_config: Some(ads()),
+            service_name: service.clone(),
+        }),
+        lb_policy: cluster::cluster::LbPolicy::LeastRequest as i32,
+        circuit_breakers: Some(cluster::CircuitBreakers {
+            thresholds: vec![thresholds],
+            ..Default::default()
+        }),
+        common_lb_config: Some(cluster::cluster::CommonLbConfig {
+            // Never in panic: a host that drains gets nothing, however few are left.
+            healthy_panic_threshold: Some(kinds::Percent { value: 0.0 }),
+            ..Default::default()
+        }),
+        ..cluster::Cluster::default()
+    };
+    Raw { name, refers: BTreeSet::from([service]), bytes: made.encode_to_vec() }
+}
+
+fn one_host(host: &Host) -> endpoint::LbEndpoint {
+    let health = match host.health {
+        Health::Healthy => core::HealthStatus::Healthy,
+        Health::Unhealthy => core::HealthStatus::Unhealthy,
+        Health::Draining => core::HealthStatus::Draining,
+    };
+    endpoint::LbEndpoint {
+        health_status: health as i32,
+        load_balancing_weight: number(host.weight),
+        host_identifier: Some(endpoint::lb_endpoint::HostIdentifier::Endpoint(endpoint::Endpoint {
+            address: Some(address(host.addr)),
+            observability_name: host.instance.clone(),
+            ..endpoint::Endpoint::default()
+        })),
+        ..endpoint::LbEndpoint::default()
+    }
+}
+
+fn by_zone(hosts: &[Host]) -> BTreeMap<&str, Vec<&Host>> {
+    let mut zones: BTreeMap<&str, Vec<&Host>> = BTreeMap::new();
+    hosts.iter().for_each(|host| zones.entry(&host.zone).or_default().push(host));
+    zones
+}
+
+/// The prefix of a build's hosts of one zone.
+fn collection(build: Build, zone: &str) -> String {
+    let zone: String =
+        zone.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
+    format!("{COLLECTION}b{build}/z{zone}/")
+}
+
+fn endpoints(handout: &Handout, apart: bool) -> Vec<Raw> {
+    let made = handout.hosts.iter().map(|(build, hosts)| {
+        let (name, mut refers) = (endpoints_name(*build), BTreeSet::new());
+        let zones = by_zone(hosts).into_iter().map(|(zone, hosts)| {
+            let weight = hosts.iter().map(|host| host.weight).sum();
+            let lb_config = apart.then(|| {
+                refers.insert(collection(*build, zone));
+                let leds = endpoint::LedsClusterLocalityConfig {
+                    leds_config: Some(ads()),
+                    leds_collection_name: format!("{}*", collection(*build, zone)),
+                };
+                endpoint::locality_lb_endpoints::LbConfig::LedsClusterLocalityConfig(leds)
+            });
+            endpoint::LocalityLbEndpoints {
+                locality: Some(core::Locality { zone: zone.to_string(), ..core::Locality::default() }),
+                lb_endpoints: if apart { Vec::new() } else { hosts.into_iter().map(one_host).collect() },
+                // Hosts apart are weighed by themselves: a sum here would change with each of them.
+                load_balancing_weight: if apart { None } else { number(weight) },
+                lb_config,
+                ..endpoint::LocalityLbEndpoints::default()
+            }
+        });
+        let endpoints = zones.collect();
+        let drop = endpoint::cluster_load_assignment::policy::DropOverload {
+            category: "shed".to_string(),
+            drop_percentage: Some(kinds::FractionalPercent {
+                numerator: handout.dropped,
+                denominator: kinds::fractional_percent::DenominatorType::Million as i32,
+            }),
+        };
+        let policy = endpoint::cluster_load_assignment::Policy {
+            drop_overloads: if handout.dropped > 0 { vec![drop] } else { Vec::new() },
+            ..Default::default()
+        };
+        let made = endpoint::ClusterLoadAssignment {
+            cluster_name: name.clone(),
+            endpoints,
+            policy: Some(policy),
+            ..endpoint::ClusterLoadAssignment::default()
+        };
+        Raw { name, refers, bytes: made.encode_to_vec() }
+    });
+    made.collect()
+}
+
+fn hosts_apart(handout: &Handout) -> Vec<Raw> {
+    let made = handout.hosts.iter().flat_map(|(build, hosts)| {
+        hosts.iter().map(|host| {
+            let id: String = host
+                .instance
+                .chars()
+                .map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' })
+                .collect();
+            // Ids that differ only in what names cannot hold stay two.
+            let name =
+                format!("{}{id}-{:x}", collection(*build, &host.zone), hash(host.instance.as_bytes()) as u32);
+            Raw { name, refers: BTreeSet::new(), bytes: one_host(host).encode_to_vec() }
+        })
+    });
+    made.collect()
+}
+
+fn listener(front: &Front) -> Raw {
+    let router = manager::HttpFilter {
+        name: "envoy.filters.http.router".to_string(),
+        config_type: Some(manager::http_filter::ConfigType::TypedConfig(any(
+            "envoy.extensions.filters.http.router.v3.Router",
+            &Router::default(),
+        ))),
+        ..manager::HttpFilter::default()
+    };
+    let made = manager::HttpConnectionManager {
+        stat_prefix: LISTENER.to_string(),
+        http_filters: vec![router],
+        route_specifier: Some(manager::http_connection_manager::RouteSpecifier::Rds(manager::Rds {
+            config_source: Some(ads()),
+            route_config_name: ROUTES.to_string(),
+        })),
+        ..manager::HttpConnectionManager::default()
+    };
+    let url = "envoy.extensions.filters.network.http_connection_manager.v3.HttpConnectionManager";
+    let filter = listener::Filter {
+        name: "envoy.filters.network.http_connection_manager".to_string(),
+        config_type: Some(listener::filter::ConfigType::TypedConfig(any(url, &made))),
+    };
+    let chain = listener::FilterChain { filters: vec![filter], ..listener::FilterChain::default() };
+    let made = listener::Listener {
+        name: LISTENER.to_string(),
+        address: Some(address(front.listener)),
+        filter_chains: vec![chain],
+        ..listener::Listener::default()
+    };
+    Raw {
+        name: LISTENER.to_string(),
+        refers: BTreeSet::from([ROUTES.to_string()]),
+        bytes: made.encode_to_vec(),
+    }
+}
+
+fn routes(handout: &Handout, products: &[Product], front: &Front) -> Raw {
+    let mut refers = BTreeSet::new();
+    let mut list = Vec::new();
+    for told in &handout.routes {
+        // The one for txns with a key goes first: proxies take the first that matches.
+        if let Some(keyed) = &told.keyed {
+            list.push(one_route(told, keyed, true, products, front, &mut refers));
+        }
+        list.push(one_route(told, &told.shares, false, products, front, &mut refers));
+    }
+    let host = route::VirtualHost {
+        name: ROUTES.to_string(),
+        domains: vec!["*".to_string()],
+        routes: list,
+        ..route::VirtualHost::default()
+    };
+    let made = route::RouteConfiguration {
+        name: ROUTES.to_string(),
+        virtual_hosts: vec![host],
+        ..route::RouteConfiguration::default()
+    };
+    Raw { name: ROUTES.to_string(), refers, bytes: made.encode_to_vec() }
+}
+
+fn one_route(
+    told: &Route, shares: &[(Target, u32)], keyed: bool, products: &[Product], front: &Front,
+    refers: &mut BTreeSet<String>,
+) -> route::Route {
+    let product = &products[told.product];
+    let weighted = shares.iter().map(|(target, part)| {
+        let name = match target {
+            Target::Build(build) => cluster_name(*build, &product.name),
+            Target::Decline => DECLINE.to_string(),
+        };
+        refers.insert(name.clone());
+        route::weighted_cluster::ClusterWeight { name, weight: number(*part), ..Default::default() }
+    });
+    let weighted =
+        route::WeightedCluster { clusters: weighted.collect(), ..route::WeightedCluster::default() };
+    debug_assert_eq!(shares.iter().map(|(_, part)| *part).sum::<u32>(), MILLION);
+    let header = |name: &str, how| route::HeaderMatcher {
+        name: name.to_string(),
+        header_match_specifier: Some(how),
+        ..route::HeaderMatcher::default()
+    };
+    let matched = crate::pb::envoy::r#type::matcher::v3::StringMatcher {
+        match_pattern: Some(crate::pb::envoy::r#type::matcher::v3::string_matcher::MatchPattern::Exact(
+            product.name.clone(),
+        )),
+        ..Default::default()
+    };
+    let mut headers = vec![header(
+        &front.product_header,
+        route::header_matcher::HeaderMatchSpecifier::StringMatch(matched),
+    )];
+    if keyed {
+        headers
+            .push(header(&front.key_header, route::header_matcher::HeaderMatchSpecifier::PresentMatch(true)));
+    }
+    // A once-only txn is repeated only where the proxy knows that it never reached the host.
+    let retry_on = match told.repeat {
+        Repeat::NeverRan => "connect-failure,refused-stream",
+        Repeat::Any if product.effect == Effect::OnceOnly => "connect-failure,refused-stream",
+        Repeat::Any => "connect-failure,refused-stream,reset,5xx",
+    };
+    let retry = route::RetryPolicy {
+        retry_on: retry_on.to_string(),
+        num_retries: number(told.repeats),
+        per_try_timeout: told.try_timeout.and_then(span),
+        ..route::RetryPolicy::default()
+    };
+    let action = route::RouteAction {
+        timeout: span(told.timeout),
+        cluster_specifier: Some(route::route_action::ClusterSpecifier::WeightedClusters(weighted)),
+        retry_policy: (told.repeats > 0).then_some(retry),
+        ..route::RouteAction::default()
+    };
+    route::Route {
+        name: if keyed { format!("{}/keyed", product.name) } else { product.name.clone() },
+        r#match: Some(route::RouteMatch {
+            headers,
+            path_specifier: Some(route::route_match::PathSpecifier::Prefix("/".to_string())),
+            ..route::RouteMatch::default()
+        }),
+        action: Some(route::route::Action::Route(action)),
+        ..route::Route::default()
+    }
+}
--- /dev/null
+++ b/crates/xds/src/server.rs
@@ -0,0 +1,469 @@
+//! The gRPC driver: connections from allowed networks, one task for each stream. It decides nothing: streams are
+//! [`Stream`], their turn is told by whoever holds the other end of [`Told`].
+
+use crate::codec::Pieces;
+use crate::loads;
+use crate::pb::envoy::service::discovery::v3::{DeltaDiscoveryRequest, DiscoveryRequest};
+use crate::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
+use crate::pb::google::protobuf::Duration as Span;
+use crate::resources::{Kind, Snapshot};
+use crate::stream::{Ask, Fault, Said, Stream};
+use bytes::Bytes;
+use ipnet::IpNet;
+use latchhaven_handout::evidence::Report;
+use latchhaven_handout::ledger::Shares;
+use latchhaven_handout::order::Labels;
+use prost::Message;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::select;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep, timeout};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::body::Body;
+use tonic::codegen::{BoxFuture, Service, http};
+use tonic::server::{Grpc, StreamingService};
+use tonic::{Request, Response, Status, Streaming};
+
+/// Bytes of one request: a proxy that holds every host of a large fleet names them all in its first one.
+const REQUEST_MOST: usize = 4 << 20;
+/// A stream on which nothing was asked by then ends.
+const FIRST: Duration = Duration::from_secs(5);
+/// A stream waits for its turn so long at most.
+const TURN: Duration = Duration::from_secs(30);
+/// How often a silent connection is asked for a sign of life, and how long that is waited for.
+const ALIVE: Duration = Duration::from_secs(10);
+const ALIVE_WITHIN: Duration = Duration::from_secs(5);
+/// Streams on one connection: discovery, loads, and single types.
+const STREAMS: u32 = 16;
+/// Connections that say nothing may be held too: this many for each stream that may be open.
+const CONNECTIONS_A_STREAM: usize = 2;
+/// Proxies are to report their loads so often.
+const REPORT_EVERY: Span = Span { seconds: 1, nanos: 0 };
+/// When no connection can be accepted, the next try is after this.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// Bytes that a reader may be behind before nothing more is handed to its connection.
+const WINDOW: u32 = 1 << 20;
+
+/// What the streams tell.
+pub enum Told {
+    /// A stream of a proxy wants to begin; answered when it is its turn.
+    Knocks { stream: u64, node: String, turn: oneshot::Sender<Result<(), Status>> },
+    /// What a stream has learnt.
+    Said { stream: u64, said: Vec<Said> },
+    /// Routes with these shares of the trial go out.
+    Sends { stream: u64, trial: Shares },
+    /// A load report; answered with what is wrong with it.
+    Report { stream: u64, report: Report, sound: oneshot::Sender<Result<(), String>> },
+    /// A stream ended.
+    Over { stream: u64 },
+}
+
+/// Figures for operators.
+#[derive(Debug, Default)]
+pub struct Sent {
+    pub messages: AtomicU64,
+    pub bytes: AtomicU64,
+    pub incremental_messages: AtomicU64,
+    pub incremental_bytes: AtomicU64,
+}
+
+/// What every stream needs.
+#[derive(Clone)]
+pub struct Ground {
+    pub snapshots: watch::Receiver<Option<Arc<Snapshot>>>,
+    pub told: mpsc::Sender<Told>,
+    pub labels: Labels,
+    pub products: Arc<Vec<String>>,
+    pub sent: Arc<Sent>,
+}
+
+/// Serves proxies until the listener fails for good.
+///
+/// # Errors
+/// What ended it.
+pub async fn serve(
+    listener: TcpListener, allowed: Vec<IpNet>, streams_most: usize, ground: Ground,
+) -> io::Result<()> {
+    let (accepted, incoming) = mpsc::channel(64);
+    let open = Arc::new(AtomicUsize::new(0));
+    let accepting = async move {
+        loop {
+            let Ok((stream, from)) = listener.accept().await else {
+                sleep(ACCEPT_AGAIN).await;
+                continue;
+            };
+            // Checked before anything is read: who may not connect costs no more than this.
+            if !allowed.iter().any(|network| network.contains(&from.ip().to_canonical())) {
+                tracing::debug!(%from, "connection from a network that is not allowed");
+                continue;
+            }
+            if open.load(Ordering::Relaxed) >= streams_most * CONNECTIONS_A_STREAM {
+                tracing::debug!(%from, "too many connections");
+                continue;
+            }
+            let _ = stream.set_nodelay(true);
+            let counted = Counted::new(stream, open.clone());
+            if accepted.send(Ok::<_, io::Error>(counted)).await.is_err() {
+                return;
+            }
+        }
+    };
+    let server = tonic::transport::Server::builder()
+        .max_concurrent_streams(STREAMS)
+        .http2_keepalive_interval(Some(ALIVE))
+        .http2_keepalive_timeout(Some(ALIVE_WITHIN))
+        .initial_stream_window_size(WINDOW)
+        .serve_with_incoming(Front { ground, next: Arc::default() }, ReceiverStream::new(incoming));
+    select! {
+        () = accepting => Ok(()),
+        served = server => served.map_err(io::Error::other),
+    }
+}
+
+/// A connection that is counted while it lasts.
+struct Counted {
+    stream: TcpStream,
+    open: Arc<AtomicUsize>,
+}
+
+impl Counted {
+    fn new(stream: TcpStream, open: Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Counted { stream, open }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl tonic::transport::server::Connected for Counted {
+    type ConnectInfo = ();
+
+    fn connect_info(&self) {}
+}
+
+impl tokio::io::AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut tokio::io::ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl tokio::io::AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// All services by their paths.
+#[derive(Clone)]
+struct Front {
+    ground: Ground,
+    next: Arc<AtomicU64>,
+}
+
+/// What a path asks for: incremental, and which type alone.
+fn discovery(path: &str) -> Option<(bool, Option<Kind>)> {
+    let (service, method) = path.strip_prefix("/envoy.service.")?.split_once('/')?;
+    let kind = match service {
+        "discovery.v3.AggregatedDiscoveryService" => None,
+        "cluster.v3.ClusterDiscoveryService" => Some(Kind::Cluster),
+        "endpoint.v3.EndpointDiscoveryService" => Some(Kind::Endpoint),
+        "endpoint.v3.LocalityEndpointDiscoveryService" => Some(Kind::Host),
+        "listener.v3.ListenerDiscoveryService" => Some(Kind::Listener),
+        "route.v3.RouteDiscoveryService" => Some(Kind::Route),
+        _ => return None,
+    };
+    match method {
+        "StreamAggregatedResources"
+        | "StreamClusters"
+        | "StreamEndpoints"
+        | "StreamListeners"
+        | "StreamRoutes" => (kind != Some(Kind::Host)).then_some((false, kind)),
+        "DeltaAggregatedResources"
+        | "DeltaClusters"
+        | "DeltaEndpoints"
+        | "DeltaLocalityEndpoints"
+        | "DeltaListeners"
+        | "DeltaRoutes" => Some((true, kind)),
+        _ => None,
+    }
+}
+
+impl Service<http::Request<Body>> for Front {
+    type Response = http::Response<Body>;
+    type Error = Infallible;
+    type Future = BoxFuture<Self::Response, Infallible>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: http::Request<Body>) -> Self::Future {
+        let ground = self.ground.clone();
+        let stream = self.next.fetch_add(1, Ordering::Relaxed) + 1;
+        let path = request.uri().path().to_string();
+        Box::pin(async move {
+            if path == "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats" {
+                let mut grpc = Grpc::new(Pieces::<LoadStatsRequest>::default());
+                grpc = grpc.max_decoding_message_size(REQUEST_MOST);
+                return Ok(grpc.streaming(Loads { ground, stream }, request).await);
+            }
+            match discovery(&path) {
+                Some((false, only)) => {
+                    let mut grpc = Grpc::new(Pieces::<DiscoveryRequest>::default());
+                    grpc = grpc.max_decoding_message_size(REQUEST_MOST);
+                    Ok(grpc.streaming(Discovery { ground, stream, incremental: false, only }, request).await)
+                }
+                Some((true, only)) => {
+                    let mut grpc = Grpc::new(Pieces::<DeltaDiscoveryRequest>::default());
+                    grpc = grpc.max_decoding_message_size(REQUEST_MOST);
+                    Ok(grpc.streaming(Discovery { ground, stream, incremental: true, only }, request).await)
+                }
+                None => Ok(Status::unimplemented(format!("'{path}' is not served here")).into_http()),
+            }
+        })
+    }
+}
+
+type Answers = ReceiverStream<Result<Vec<Bytes>, Status>>;
+type Answering = Pin<Box<dyn Future<Output = Result<Response<Answers>, Status>> + Send>>;
+
+/// Requests of both forms, as what they ask.
+trait Asks: Message + Default + 'static {
+    fn ask(self) -> Ask;
+}
+
+impl Asks for DiscoveryRequest {
+    fn ask(self) -> Ask {
+        Ask {
+            url: self.type_url,
+            node: self.node.map(|node| node.id),
+            names: self.resource_names,
+            nonce: self.response_nonce,
+            version: self.version_info,
+            error: self.error_detail.map(|error| error.message),
+            ..Ask::default()
+        }
+    }
+}
+
+impl Asks for DeltaDiscoveryRequest {
+    fn ask(self) -> Ask {
+        Ask {
+            url: self.type_url,
+            node: self.node.map(|node| node.id),
+            names: self.resource_names_subscribe,
+            without: self.resource_names_unsubscribe,
+            nonce: self.response_nonce,
+            held: self.initial_resource_versions.into_iter().collect(),
+            error: self.error_detail.map(|error| error.message),
+            ..Ask::default()
+        }
+    }
+}
+
+struct Discovery {
+    ground: Ground,
+    stream: u64,
+    incremental: bool,
+    only: Option<Kind>,
+}
+
+impl<R: Asks> StreamingService<R> for Discovery {
+    type Response = Vec<Bytes>;
+    type ResponseStream = Answers;
+    type Future = Answering;
+
+    fn call(&mut self, request: Request<Streaming<R>>) -> Answering {
+        let (ground, number) = (self.ground.clone(), self.stream);
+        let stream = Stream::new(self.incremental, self.only, ground.labels.clone());
+        let incremental = self.incremental;
+        Box::pin(async move {
+            // One answer on its way: more would be a queue of old ones behind a slow reader.
+            let (answers, stream_of_answers) = mpsc::channel(1);
+            tokio::spawn(async move {
+                let asks = request.into_inner();
+                let told = ground.told.clone();
+                let ended = discover(asks, stream, number, incremental, ground, &answers).await;
+                let _ = told.send(Told::Over { stream: number }).await;
+                if let Err(status) = ended {
+                    let _ = answers.send(Err(status)).await;
+                }
+            });
+            Ok(Response::new(ReceiverStream::new(stream_of_answers)))
+        })
+    }
+}
+
+fn status(fault: Fault) -> Status {
+    match fault {
+        Fault::Invalid(what) => Status::invalid_argument(what),
+        Fault::TooMuch(what) => Status::resource_exhausted(what),
+    }
+}
+
+async fn discover<R: Asks>(
+    mut asks: Streaming<R>, mut stream: Stream, number: u64, incremental: bool, mut ground: Ground,
+    answers: &mpsc::Sender<Result<Vec<Bytes>, Status>>,
+) -> Result<(), Status> {
+    let first = timeout(FIRST, asks.message()).await;
+    let Some(first) = first.map_err(|_| Status::deadline_exceeded("nothing was asked"))?? else {
+        return Ok(());
+    };
+    stream.ask(first.ask()).map_err(status)?;
+    let node = stream.node().unwrap_or_default().to_string();
+    knock(&ground.told, number, node).await?;
+    let over = || Status::unavailable("the control service ends");
+    loop {
+        let said = stream.said();
+        if !said.is_empty() {
+            ground.told.send(Told::Said { stream: number, said }).await.map_err(|_| over())?;
+        }
+        // An answer is chosen only once there is room for it: it is the newest then.
+        let room = answers.reserve();
+        let ready = ground.snapshots.borrow_and_update().is_some();
+        select! {
+            biased;
+            ask = asks.message() => match ask? {
+                Some(ask) => stream.ask(ask.ask()).map_err(status)?,
+                None => return Ok(()),
+            },
+            room = room, if ready => {
+                let Ok(room) = room else { return Ok(()) };
+                let newest = ground.snapshots.borrow_and_update().clone();
+                match newest.as_ref().and_then(|snapshot| stream.next(snapshot)) {
+                    Some(answer) => {
+                        if let Some(trial) = answer.trial {
+                            ground.told.send(Told::Sends { stream: number, trial }).await.map_err(|_| over())?;
+                        }
+                        let bytes = answer.pieces.iter().map(Bytes::len).sum::<usize>() as u64;
+                        let sent = &ground.sent;
+                        let (messages, sum) = match incremental {
+                            true => (&sent.incremental_messages, &sent.incremental_bytes),
+                            false => (&sent.messages, &sent.bytes),
+                        };
+                        messages.fetch_add(1, Ordering::Relaxed);
+                        sum.fetch_add(bytes, Ordering::Relaxed);
+                        room.send(Ok(answer.pieces));
+                    }
+                    None => {
+                        drop(room);
+                        let said = stream.said();
+                        if !said.is_empty() {
+                            ground.told.send(Told::Said { stream: number, said }).await.map_err(|_| over())?;
+                        }
+                        // Nothing to say until something is asked or decided.
+                        select! {
+                            ask = asks.message() => match ask? {
+                                Some(ask) => stream.ask(ask.ask()).map_err(status)?,
+                                None => return Ok(()),
+                            },
+                            changed = ground.snapshots.changed() => changed.map_err(|_| over())?,
+                        }
+                    }
+                }
+            },
+            changed = ground.snapshots.changed(), if !ready => changed.map_err(|_| over())?,
+        }
+    }
+}
+
+async fn knock(told: &mpsc::Sender<Told>, stream: u64, node: String) -> Result<(), Status> {
+    let (turn, turned) = oneshot::channel();
+    let over = |()| Status::unavailable("the control service ends");
+    told.send(Told::Knocks { stream, node, turn }).await.map_err(|_| over(()))?;
+    match timeout(TURN, turned).await {
+        Ok(turn) => turn.map_err(|_| over(()))?,
+        Err(_) => Err(Status::resource_exhausted("too many begin at once: come again later")),
+    }
+}
+
+struct Loads {
+    ground: Ground,
+    stream: u64,
+}
+
+impl StreamingService<LoadStatsRequest> for Loads {
+    type Response = Vec<Bytes>;
+    type ResponseStream = Answers;
+    type Future = Answering;
+
+    fn call(&mut self, request: Request<Streaming<LoadStatsRequest>>) -> Answering {
+        let (ground, number) = (self.ground.clone(), self.stream);
+        Box::pin(async move {
+            let (answers, stream_of_answers) = mpsc::channel(1);
+            tokio::spawn(async move {
+                let told = ground.told.clone();
+                let ended = report(request.into_inner(), number, ground, &answers).await;
+                let _ = told.send(Told::Over { stream: number }).await;
+                if let Err(status) = ended {
+                    let _ = answers.send(Err(status)).await;
+                }
+            });
+            Ok(Response::new(ReceiverStream::new(stream_of_answers)))
+        })
+    }
+}
+
+async fn report(
+    mut reports: Streaming<LoadStatsRequest>, number: u64, ground: Ground,
+    answers: &mpsc::Sender<Result<Vec<Bytes>, Status>>,
+) -> Result<(), Status> {
+    let first = timeout(FIRST, reports.message()).await;
+    let Some(first) = first.map_err(|_| Status::deadline_exceeded("nothing was asked"))?? else {
+        return Ok(());
+    };
+    let node = first.node.map(|node| node.id).unwrap_or_default();
+    if node.is_empty() || node.len() > 256 {
+        return Err(Status::invalid_argument("node.id: missing or too long"));
+    }
+    knock(&ground.told, number, node).await?;
+    let wanted = LoadStatsResponse {
+        send_all_clusters: true,
+        load_reporting_interval: Some(REPORT_EVERY),
+        report_endpoint_granularity: true,
+        ..LoadStatsResponse::default()
+    };
+    if answers.send(Ok(vec![Bytes::from(wanted.encode_to_vec())])).await.is_err() {
+        return Ok(());
+    }
+    while let Some(request) = reports.message().await? {
+        let report = loads::read(&request, &ground.products).map_err(Status::invalid_argument)?;
+        let (sound, heard) = oneshot::channel();
+        let over = || Status::unavailable("the control service ends");
+        ground.told.send(Told::Report { stream: number, report, sound }).await.map_err(|_| over())?;
+        heard.await.map_err(|_| over())?.map_err(Status::invalid_argument)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/xds/src/stream.rs
@@ -0,0 +1,498 @@
+//! One stream of one proxy: what it asks for, what it holds, and what it is sent next. Pure: a driver feeds it requests
+//! and asks it for the next answer whenever there is room for one, so that a slow reader gets the newest and no queue.
+//!
+//! What it sees to:
+//! - *Make before break*: routes go out once the clusters and endpoints that they name were accepted; a cluster goes
+//!   once no route that the proxy may hold names it.
+//! - *Never backwards*: nothing is sent while the snapshot is older, in any part, than what the proxy holds.
+//! - *One pending answer a type*; a refused one is not sent again while its bytes are the same.
+
+use crate::resources::{Kind, Resource, Set, Snapshot};
+use bytes::{BufMut, Bytes, BytesMut};
+use latchhaven_handout::ledger::Shares;
+use latchhaven_handout::order::{Basis, Label, Labels};
+use prost::encoding::{WireType, encode_key, encode_varint};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Names of one type that a stream may ask for: a handout has some tens.
+const NAMES_MOST: usize = 1_024;
+/// Bytes of one name, and of a node's id.
+const NAME_MOST: usize = 512;
+const NODE_MOST: usize = 256;
+/// Resources that a proxy may say it holds: clusters and hosts of several builds.
+const HELD_MOST: usize = 20_000;
+/// Requests with nonces that were never given, until the stream ends.
+const FAULTS: u32 = 16;
+/// Bytes of a proxy's words on what it refused that are kept.
+const WORDS_MOST: usize = 512;
+
+/// What a proxy asks, in both forms of the protocol.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    pub url: String,
+    /// The proxy's id, where it is given.
+    pub node: Option<String>,
+    /// All names of the type; incremental: those added.
+    pub names: Vec<String>,
+    /// Incremental: those let go.
+    pub without: Vec<String>,
+    pub nonce: String,
+    /// The label of what it last accepted.
+    pub version: String,
+    /// Incremental: what it holds from an earlier stream, with labels.
+    pub held: Vec<(String, String)>,
+    /// Why it refused the answer with this nonce.
+    pub error: Option<String>,
+}
+
+/// Why a stream ends.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// What it sent cannot be.
+    Invalid(String),
+    /// It asks for too much.
+    TooMuch(String),
+}
+
+/// What a stream has learnt, for whoever decides.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    /// It holds something with this label, from before.
+    Holds(Label),
+    /// It accepted routes with these shares of the trial.
+    Accepted(Shares),
+    /// It refused what it was sent; the first time, with its words.
+    Refused { kind: Kind, words: String },
+}
+
+/// One answer, encoded but for the pieces being put together.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub kind: Kind,
+    pub pieces: Vec<Bytes>,
+    /// The shares of the trial in it, where it holds routes.
+    pub trial: Option<Shares>,
+    /// Which snapshot of this process it is of.
+    pub number: u64,
+}
+
+/// What a proxy holds under a name; the resource itself where it was sent on this stream.
+#[derive(Clone, Debug)]
+struct Held {
+    hash: u64,
+    resource: Option<Arc<Resource>>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    resources: Vec<Arc<Resource>>,
+    removed: Vec<String>,
+    /// It replaces all that was held.
+    all: bool,
+    trial: Option<Shares>,
+    content: u64,
+}
+
+/// The state of one type.
+#[derive(Debug, Default)]
+struct Per {
+    asked: bool,
+    wild: bool,
+    names: BTreeSet<String>,
+    held: BTreeMap<String, Held>,
+    /// Nothing older than this may be sent: the proxy held it when it came.
+    guard: Option<Basis>,
+    pending: Option<Pending>,
+    /// The nonce of the last answer.
+    nonce: String,
+    /// An answer is owed though nothing changed: names were asked for.
+    owed: bool,
+    owed_names: BTreeSet<String>,
+    /// What was refused: whole answers by content, incremental ones by resource.
+    refused: Option<u64>,
+    refused_apart: BTreeMap<String, u64>,
+}
+
+/// One stream.
+pub struct Stream {
+    incremental: bool,
+    only: Option<Kind>,
+    labels: Labels,
+    node: Option<String>,
+    kinds: BTreeMap<Kind, Per>,
+    given: u64,
+    faults: u32,
+    said: Vec<Said>,
+}
+
+/// FNV-1a over names and hashes.
+fn content(resources: &[Arc<Resource>]) -> u64 {
+    let mut sum = 0xcbf2_9ce4_8422_2325u64;
+    for resource in resources {
+        for byte in resource.name.bytes().chain(resource.hash.to_be_bytes()) {
+            sum = (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+    sum
+}
+
+impl Stream {
+    /// A stream that nothing was heard on yet; `only`: it carries this one type.
+    pub fn new(incremental: bool, only: Option<Kind>, labels: Labels) -> Self {
+        let (node, kinds, said) = (None, BTreeMap::new(), Vec::new());
+        Stream { incremental, only, labels, node, kinds, given: 0, faults: 0, said }
+    }
+
+    /// The proxy's id, once it told it.
+    pub fn node(&self) -> Option<&str> {
+        self.node.as_deref()
+    }
+
+    /// What was learnt since the last call.
+    pub fn said(&mut self) -> Vec<Said> {
+        std::mem::take(&mut self.said)
+    }
+
+    /// Takes a request in.
+    ///
+    /// # Errors
+    /// What cannot be answered: the stream ends with it.
+    pub fn ask(&mut self, mut ask: Ask) -> Result<(), Fault> {
+        if self.node.is_none() {
+            let node = ask.node.take().filter(|node| !node.is_empty());
+            let node =
+                node.ok_or_else(|| Fault::Invalid("node.id: missing in the first request".to_string()))?;
+            if node.len() > NODE_MOST {
+                return Err(Fault::TooMuch(format!("node.id: longer than {NODE_MOST} bytes")));
+            }
+            self.node = Some(node);
+        }
+        let kind = match (Kind::of(&ask.url), self.only) {
+            (Some(kind), None) if kind != Kind::Host || self.incremental => kind,
+            (Some(kind), Some(only)) if kind == only => kind,
+            (None, Some(only)) if ask.url.is_empty() => only,
+            _ => {
+                let url: String = ask.url.chars().take(NODE_MOST).collect();
+                return Err(Fault::Invalid(format!("type_url: '{url}' is not served here")));
+            }
+        };
+        let named = ask.names.iter().chain(&ask.without).chain(ask.held.iter().map(|(name, _)| name));
+        if ask.names.len() > NAMES_MOST || ask.without.len() > HELD_MOST || ask.held.len() > HELD_MOST {
+            return Err(Fault::TooMuch(format!(
+                "more than {NAMES_MOST} names asked for, or {HELD_MOST} held"
+            )));
+        }
+        if named.into_iter().any(|name| name.len() > NAME_MOST) {
+            return Err(Fault::TooMuch(format!("a name longer than {NAME_MOST} bytes")));
+        }
+        let first = !self.kinds.get(&kind).is_some_and(|per| per.asked);
+        if first && !ask.nonce.is_empty() {
+            return self.fault("response_nonce: given to nobody on this stream");
+        }
+        let known = !ask.nonce.is_empty() && self.kinds.get(&kind).is_some_and(|per| per.nonce == ask.nonce);
+        if !ask.nonce.is_empty() && !known {
+            let given = ask.nonce.parse::<u64>().is_ok_and(|number| number > 0 && number <= self.given);
+            if !given {
+                return self.fault("response_nonce: given to nobody on this stream");
+            }
+            // Of an earlier answer: a whole request is void, an incremental one still changes names.
+            if !self.incremental {
+                return Ok(());
+            }
+        }
+        if first {
+            self.hear_held(kind, &ask);
+        }
+        if known {
+            self.concluded(kind, ask.error);
+        }
+        let per = self.kinds.entry(kind).or_default();
+        per.asked = true;
+        if self.incremental {
+            Self::rename_apart(per, kind, first, ask.names, ask.without)?;
+        } else {
+            Self::rename(per, kind, first, ask.names);
+        }
+        Ok(())
+    }
+
+    fn fault(&mut self, what: &str) -> Result<(), Fault> {
+        self.faults += 1;
+        if self.faults < FAULTS { Ok(()) } else { Err(Fault::Invalid(what.to_string())) }
+    }
+
+    /// What a proxy holds from before guards its stream: nothing older is sent to it.
+    fn hear_held(&mut self, kind: Kind, ask: &Ask) {
+        let labels = ask.held.iter().map(|(_, label)| label).chain([&ask.version]);
+        let read: Vec<Label> = labels.filter_map(|label| self.labels.read(label)).collect();
+        let per = self.kinds.entry(kind).or_default();
+        for label in &read {
+            per.guard = Some(per.guard.map_or(label.basis, |held| held.join(&label.basis)));
+        }
+        for (name, label) in &ask.held {
+            if let Some(label) = self.labels.read(label) {
+                per.held.insert(name.clone(), Held { hash: label.content, resource: None });
+            }
+        }
+        self.said.extend(read.into_iter().map(Said::Holds));
+    }
+
+    /// The last answer was accepted, or refused.
+    fn concluded(&mut self, kind: Kind, error: Option<String>) {
+        let Some(per) = self.kinds.get_mut(&kind) else { return };
+        let Some(pending) = per.pending.take() else { return };
+        if let Some(mut words) = error {
+            let again = per.refused == Some(pending.content);
+            per.refused = Some(pending.content);
+            let refused = pending.resources.iter().map(|resource| (resource.name.clone(), resource.hash));
+            per.refused_apart.extend(refused);
+            let cut = (0..=WORDS_MOST.min(words.len())).rev().find(|at| words.is_char_boundary(*at));
+            words.truncate(cut.unwrap_or(0));
+            if !again {
+                self.said.push(Said::Refused { kind, words });
+            }
+            return;
+        }
+        if pending.all {
+            per.held.clear();
+        }
+        for resource in pending.resources {
+            per.refused_apart.remove(&resource.name);
+            let held = Held { hash: resource.hash, resource: Some(resource.clone()) };
+            per.held.insert(resource.name.clone(), held);
+        }
+        pending.removed.iter().for_each(|name| drop(per.held.remove(name)));
+        per.refused = None;
+        self.said.extend(pending.trial.map(Said::Accepted));
+    }
+
+    fn rename(per: &mut Per, kind: Kind, first: bool, names: Vec<String>) {
+        let named: BTreeSet<String> = names.into_iter().filter(|name| name != "*").collect();
+        let wild = kind.wild() && named.is_empty() && (first || per.wild);
+        if first || wild != per.wild || named != per.names {
+            // Those no longer asked for are no longer held.
+            per.held.retain(|name, _| wild || named.contains(name));
+            let more = first || named.iter().any(|name| !per.names.contains(name)) || (wild && !per.wild);
+            per.owed |= more;
+            (per.names, per.wild) = (named, wild);
+        }
+    }
+
+    fn rename_apart(
+        per: &mut Per, kind: Kind, first: bool, names: Vec<String>, without: Vec<String>,
+    ) -> Result<(), Fault> {
+        if first && names.is_empty() && kind.wild() {
+            per.wild = true;
+        }
+        for name in names {
+            if name == "*" {
+                per.wild = kind.wild() || per.wild;
+                continue;
+            }
+            // Asked for again is to be sent again, unless it was told as held on this first request.
+            if !(first && per.held.contains_key(&name)) {
+                per.owed_names.insert(name.clone());
+            }
+            per.names.insert(name);
+        }
+        for name in without {
+            if name == "*" {
+                per.wild = false;
+            }
+            per.names.remove(&name);
+            per.owed_names.remove(&name);
+            if !per.wild {
+                per.held.retain(|held, _| *held != name && !globbed(&name, held));
+            }
+        }
+        if per.names.len() > NAMES_MOST {
+            return Err(Fault::TooMuch(format!("more than {NAMES_MOST} names asked for")));
+        }
+        Ok(())
+    }
+
+    /// The next answer, if there is one that may be sent now.
+    pub fn next(&mut self, snapshot: &Snapshot) -> Option<Answer> {
+        Kind::ALL.into_iter().find_map(|kind| self.next_of(kind, snapshot))
+    }
+
+    /// True where all that was asked for is held, as the snapshot has it.
+    pub fn settled(&self, snapshot: &Snapshot) -> bool {
+        self.kinds.iter().filter(|(_, per)| per.asked).all(|(kind, per)| {
+            let (_, set) = snapshot.set(*kind, self.incremental);
+            per.pending.is_none()
+                && wanted(per, set).all(|new| per.held.get(&new.name).is_some_and(|h| h.hash == new.hash))
+        })
+    }
+
+    fn next_of(&mut self, kind: Kind, snapshot: &Snapshot) -> Option<Answer> {
+        let per = self.kinds.get(&kind)?;
+        if !per.asked || per.pending.is_some() || per.guard.is_some_and(|held| !snapshot.basis.covers(&held))
+        {
+            return None;
+        }
+        if kind == Kind::Route && !self.grounded(snapshot) {
+            return None;
+        }
+        let (label, set) = snapshot.set(kind, self.incremental);
+        let kept = if kind == Kind::Cluster { self.referred(snapshot) } else { None };
+        let keeps = |name: &String| match (kind, &kept) {
+            (Kind::Cluster, None) => true,
+            (Kind::Cluster, Some(kept)) => kept.contains(name),
+            // Endpoints stay as long as their cluster does.
+            (Kind::Endpoint, _) => self.kinds.get(&Kind::Cluster).is_some_and(|clusters| {
+                let held = clusters.held.values().filter_map(|held| held.resource.as_ref());
+                held.into_iter().any(|cluster| cluster.refers.contains(name))
+            }),
+            _ => false,
+        };
+        let answer =
+            if self.incremental { self.apart(kind, set, keeps) } else { self.whole(kind, set, keeps) };
+        let Some((resources, removed, all)) = answer else {
+            // Routes that were held all along count as accepted.
+            let per = self.kinds.get_mut(&kind)?;
+            if kind == Kind::Route
+                && per.guard.take().is_some()
+                && wanted(per, set)
+                    .all(|new| per.held.get(&new.name).is_some_and(|held| held.hash == new.hash))
+                && !per.held.is_empty()
+            {
+                self.said.push(Said::Accepted(snapshot.trial.clone()));
+            }
+            return None;
+        };
+        self.given += 1;
+        let nonce = self.given.to_string();
+        let trial = (kind == Kind::Route).then(|| snapshot.trial.clone());
+        let pieces = pieces(kind, self.incremental, label, &resources, &removed, &nonce);
+        let per = self.kinds.get_mut(&kind)?;
+        (per.nonce, per.owed, per.guard) = (nonce, false, None);
+        per.owed_names.clear();
+        let content = content(&resources);
+        per.pending = Some(Pending { resources, removed, all, trial: trial.clone(), content });
+        Some(Answer { kind, pieces, trial, number: snapshot.number })
+    }
+
+    /// A whole answer: for types without names everything, for others what is new.
+    fn whole(
+        &self, kind: Kind, set: &Set, keeps: impl Fn(&String) -> bool,
+    ) -> Option<(Vec<Arc<Resource>>, Vec<String>, bool)> {
+        let per = &self.kinds[&kind];
+        let held = |new: &Resource| per.held.get(&new.name).is_some_and(|held| held.hash == new.hash);
+        if !kind.wild() {
+            let new: Vec<_> = wanted(per, set).filter(|new| per.owed || !held(new)).cloned().collect();
+            let refused = per.refused == Some(content(&new));
+            return (!new.is_empty() && !refused).then_some((new, Vec::new(), false));
+        }
+        let mut all: Vec<_> = wanted(per, set).cloned().collect();
+        let gone = per.held.iter().filter(|(name, _)| !set.contains_key(*name));
+        let stays = gone.filter(|(name, _)| keeps(name)).filter_map(|(_, held)| held.resource.clone());
+        all.extend(stays);
+        let same = all.len() == per.held.len() && all.iter().all(|new| held(new));
+        let refused = per.refused == Some(content(&all));
+        ((per.owed || !same) && !refused).then_some((all, Vec::new(), true))
+    }
+
+    /// An incremental answer: what changed, and what is gone.
+    fn apart(
+        &self, kind: Kind, set: &Set, keeps: impl Fn(&String) -> bool,
+    ) -> Option<(Vec<Arc<Resource>>, Vec<String>, bool)> {
+        let per = &self.kinds[&kind];
+        let owed = |name: &String| per.owed_names.iter().any(|owed| owed == name || globbed(owed, name));
+        let fresh = |new: &&Arc<Resource>| {
+            let held = per.held.get(&new.name).is_some_and(|held| held.hash == new.hash);
+            let refused = per.refused_apart.get(&new.name) == Some(&new.hash);
+            (!held || owed(&new.name)) && !refused
+        };
+        let new: Vec<_> = wanted(per, set).filter(fresh).cloned().collect();
+        let gone = per.held.keys().filter(|name| !set.contains_key(*name) && !keeps(name));
+        let absent = per.owed_names.iter().filter(|name| !name.ends_with('*') && !set.contains_key(*name));
+        let removed: BTreeSet<String> = gone.chain(absent).cloned().collect();
+        (!new.is_empty() || !removed.is_empty()).then_some((new, removed.into_iter().collect(), false))
+    }
+
+    /// All clusters that the new routes name were accepted, with their endpoints. Where clusters are no matter of
+    /// this stream, nothing is known of them.
+    fn grounded(&self, snapshot: &Snapshot) -> bool {
+        if self.only.is_some() || !self.kinds.get(&Kind::Cluster).is_some_and(|per| per.asked) {
+            return true;
+        }
+        let (_, routes) = snapshot.set(Kind::Route, self.incremental);
+        let (_, clusters) = snapshot.set(Kind::Cluster, self.incremental);
+        let (_, endpoints) = snapshot.set(Kind::Endpoint, self.incremental);
+        let holds =
+            |kind: Kind, name: &String| self.kinds.get(&kind).is_some_and(|per| per.held.contains_key(name));
+        let hosted = |prefix: &String| {
+            let hosts = self.kinds.get(&Kind::Host);
+            hosts.is_some_and(|per| {
+                per.held.range(prefix.clone()..).next().is_some_and(|(name, _)| name.starts_with(prefix))
+            })
+        };
+        routes.values().flat_map(|routes| &routes.refers).all(|name| {
+            let service = clusters.get(name).map(|cluster| &cluster.refers);
+            let fed = service.into_iter().flatten().all(|service| {
+                let apart = endpoints.get(service).into_iter().flat_map(|endpoints| &endpoints.refers);
+                holds(Kind::Endpoint, service) && apart.into_iter().all(hosted)
+            });
+            holds(Kind::Cluster, name) && fed
+        })
+    }
+
+    /// The clusters that routes name which the proxy holds, or may soon; none: it may hold any.
+    fn referred(&self, snapshot: &Snapshot) -> Option<BTreeSet<String>> {
+        let per = self.kinds.get(&Kind::Route).filter(|per| per.asked)?;
+        let mut names = BTreeSet::new();
+        let (_, routes) = snapshot.set(Kind::Route, self.incremental);
+        for (name, held) in &per.held {
+            let same = routes.get(name).filter(|new| new.hash == held.hash);
+            names.extend(held.resource.as_ref().or(same)?.refers.iter().cloned());
+        }
+        // Before it holds any routes of this stream it may go on by those of an earlier one.
+        if per.held.is_empty() {
+            return None;
+        }
+        let pending = per.pending.iter().flat_map(|pending| &pending.resources);
+        pending.for_each(|resource| names.extend(resource.refers.iter().cloned()));
+        Some(names)
+    }
+}
+
+/// True where a glob collection has this name.
+fn globbed(glob: &str, name: &str) -> bool {
+    glob.strip_suffix('*').is_some_and(|prefix| prefix.ends_with('/') && name.starts_with(prefix))
+}
+
+/// The resources of a type that a stream asked for.
+fn wanted<'a>(per: &'a Per, set: &'a Set) -> impl Iterator<Item = &'a Arc<Resource>> {
+    set.values().filter(|resource| {
+        per.wild
+            || per.names.contains(&resource.name)
+            || per.names.iter().any(|glob| globbed(glob, &resource.name))
+    })
+}
+
+/// An answer on the wire. Resources come first: they are shared, and the order of fields is free.
+fn pieces(
+    kind: Kind, incremental: bool, label: &str, resources: &[Arc<Resource>], removed: &[String], nonce: &str,
+) -> Vec<Bytes> {
+    let part =
+        |resource: &Arc<Resource>| if incremental { resource.apart.clone() } else { resource.whole.clone() };
+    let mut pieces: Vec<Bytes> = resources.iter().map(part).collect();
+    let mut rest = BytesMut::new();
+    let mut text = |tag: u32, text: &str| {
+        encode_key(tag, WireType::LengthDelimited, &mut rest);
+        encode_varint(text.len() as u64, &mut rest);
+        rest.put_slice(text.as_bytes());
+    };
+    // DiscoveryResponse: version_info 1, type_url 4, nonce 5. DeltaDiscoveryResponse: system_version_info 1,
+    // type_url 4, nonce 5, removed_resources 6.
+    text(1, label);
+    text(4, kind.url());
+    text(5, nonce);
+    if incremental {
+        removed.iter().for_each(|name| text(6, name));
+    }
+    pieces.push(rest.freeze());
+    pieces
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -44,6 +44,8 @@
     Stage(StageNews),
     /// What the platform counted for one build and product over the past period.
     Tally { build: Build, product: String, count: u64, failed: u64, took: Option<Ms>, age: Ms },
+    /// What others who send to an instance counted there over a period; `took`: mean time of those that settled.
+    Seen { instance: String, product: String, count: u64, failed: u64, took: Option<Ms> },
     /// A client found an answer wrong.
     Flagged { instance: String, product: String, age: Ms },
 }
@@ -299,3 +301,43 @@
     pub probes: bool,
     pub reports: Reports,
 }
+
+/// How far the decisions stand, for a front that hands them on instead of asking for each txn. Shares, weights and
+/// health in it are decided; what such a front still owes to the rules is in `crates/handout`.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Outlook {
+    /// Builds on trial among the ready instances, lowest first.
+    pub trials: Vec<Trial>,
+    /// Share of the txns that the trial is to carry, before the cap: the top-two pick at parity.
+    pub share: f64,
+    /// The newest build was found bad here, whatever the platform says by now.
+    pub condemned: bool,
+    /// Share of all txns to decline at once.
+    pub shed: f64,
+    /// All instances that are on the list.
+    pub instances: Vec<Outlooked>,
+}
+
+/// A build on trial: its cap and stage, as the rule on exposure counts them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Trial {
+    pub build: Build,
+    pub cap: f64,
+    pub stage: u32,
+}
+
+/// How one instance stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outlooked {
+    pub instance: String,
+    pub build: Build,
+    pub zone: String,
+    /// It wants new txns, as the list says.
+    pub ready: bool,
+    /// It is left aside for now.
+    pub aside: bool,
+    /// Its weight, times the least share of its capacity that it has by now.
+    pub capacity: f64,
+    /// It is still within the told warm-up.
+    pub cold: bool,
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -402,6 +402,19 @@
         }
     }
 
+    /// What others saw of an instance: a share of errors over so many submissions.
+    fn seen(&mut self, i: usize, count: f64, errors: f64, now: Ms, out: &mut Out) {
+        let s = &mut self.servers;
+        let keep = (1.0 - NEWEST).powf(count);
+        s.errors[i] = keep * s.errors[i] + (1.0 - keep) * errors;
+        s.last_answer[i] = if errors < 1.0 { now } else { s.last_answer[i] };
+        if s.errors[i] > SICK_ERRORS {
+            self.leave_aside(i, "errors seen by others", now, out);
+        } else {
+            s.aside_times[i] *= u32::from(errors > SICK_ERRORS);
+        }
+    }
+
     /// What one ending tells of the instance; `queue`: its time against what is wanted.
     fn learn(&mut self, i: usize, ending: Ending, queue: f64, now: Ms, out: &mut Out) {
         let s = &mut self.servers;
@@ -491,6 +504,44 @@
         std::mem::take(&mut desk.out)
     }
 
+    /// How far the decisions stand, for a front that hands them on instead of asking for each txn.
+    pub fn outlook(&mut self, now: Ms) -> Outlook {
+        let (trial, earlier) = self.sides(false);
+        let (fleet, s) = (&self.fleet, &self.fleet.servers);
+        let well = |i: &usize| s.aside_until[*i] <= now;
+        let capacity = |i: usize| s.weight[i] * fleet.warmth(i, now);
+        let sum = |side: &[usize]| side.iter().copied().filter(well).map(capacity).sum::<f64>();
+        let (new, old) = (sum(&trial), sum(&earlier));
+        let phase = self.exposure.news.as_ref().map_or(Phase::OnTrial, |news| news.phase);
+        let newest = self.exposure.news.as_ref().map(|news| news.build);
+        let condemned = self.judge.condemned.is_some() && self.judge.condemned == newest;
+        // Over all traffic parity in flight at each instance comes to the share of capacity.
+        let share = match (earlier.is_empty(), phase) {
+            (true, _) => f64::from(u8::from(!trial.is_empty())),
+            (false, Phase::GoingBack | Phase::Withdrawn) => 0.0,
+            (false, Phase::OnTrial) if condemned => 0.0,
+            (false, _) if self.judge.rehearsed.is_some() && new > 0.0 => REHEARSED,
+            _ => new / (new + old).max(f64::MIN_POSITIVE),
+        };
+        let mut trials: Vec<Trial> = Vec::new();
+        for build in trial.iter().map(|i| s.build[*i]).collect::<std::collections::BTreeSet<_>>() {
+            let on = self.exposure.on_trial(build, fleet.lowest);
+            trials.extend(on.map(|(cap, stage)| Trial { build, cap, stage }));
+        }
+        let instances = (0..s.id.len()).filter(|i| !s.gone[*i]).map(|i| Outlooked {
+            instance: s.id[i].clone(),
+            build: s.build[i],
+            zone: s.zone[i].clone(),
+            ready: s.ready[i],
+            aside: !well(&i),
+            capacity: capacity(i),
+            cold: fleet.warmth(i, now) < 1.0,
+        });
+        let instances = instances.collect();
+        let shed = self.shed_share(&None, now).clamp(0.0, 1.0);
+        Outlook { trials, share, condemned, shed, instances }
+    }
+
     fn hear(&mut self, event: Event, now: Ms) {
         match event {
             Event::Fleet { kind, entries, .. } => self.fleet.hear(&mut self.rng, kind, &entries, now),
@@ -539,6 +590,20 @@
                     .into_iter()
                     .for_each(|tally| tally.add(count as f64, failed as f64, took.unwrap_or(1.0)));
             }
+            Event::Seen { instance, product, count, failed, took } => {
+                let known = self.products.iter().find(|known| known.name == product);
+                let (Some(i), Some(known)) = (self.fleet.index.get(&instance), known) else { return };
+                if count == 0 || failed > count {
+                    return;
+                }
+                let (count, part) = (count as f64, failed as f64 / count as f64);
+                self.fleet.seen(*i, count, part, now, &mut self.desk.out);
+                let left = took.map_or(0.0, |took| 1.0 - took / known.sla);
+                let service = &mut self.desk.all_service;
+                service.fade(now, SHED_HALF);
+                service.came += count;
+                service.good += count * (1.0 - part) * (left / GOOD_LEFT).clamp(0.0, 1.0);
+            }
             Event::Timer { .. } | Event::Probed { .. } => {}
         }
     }
