Stand-in proxies hold what the service hands out; a model finds three ways to dangle

Proxies of the repository's own cache as real ones do, in both forms of the protocol, refuse, hop and come back. A property test plays them against two services over random news, lists, losses, refusals and restarts. Without the guard against older states, without making before breaking, and without the clusters of builds that are gone, it fails.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -47,7 +47,7 @@
     ledger: Ledger,
     labels: Labels,
     terms: Terms,
-    front: Front,
+    made_of: Arc<(Vec<Product>, Front)>,
     admission: Admission,
     addresses: BTreeMap<String, SocketAddr>,
     known: BTreeMap<SocketAddr, Known>,
@@ -96,8 +96,8 @@
             gathered: Gathered::new(names, platform_only),
             ledger: Ledger::new(2 * streams_most),
             labels,
+            made_of: Arc::new((terms.products.clone(), front)),
             terms,
-            front,
             admission: Admission::new(streams_most),
             addresses,
             known,
@@ -313,7 +313,7 @@
         if self.wake == f64::INFINITY {
             self.wake = now + ANEW;
         }
-        if self.behind && now - self.asked >= ASK_BEHIND {
+        if (self.behind || self.world.list_behind()) && now - self.asked >= ASK_BEHIND {
             self.asked = now;
             doings.actions.push(Action::Fetch);
         }
@@ -350,8 +350,8 @@
         }
         let (addresses, withdrawn) = (&self.addresses, self.world.withdrawn());
         let made = handout::make(&outlook, &self.terms, withdrawn, addresses, &self.ledger, now);
-        let (products, earlier): (&[Product], _) = (&self.terms.products, self.snapshot.as_deref());
-        let snapshot = Snapshot::make(&made, basis, products, &self.front, &self.labels, earlier);
+        let earlier = self.snapshot.as_deref();
+        let snapshot = Snapshot::make(&made, basis, &self.made_of, &self.labels, earlier);
         self.waiting_for = None;
         if earlier.is_some_and(|earlier| earlier.basis == basis && snapshot.same(earlier)) {
             return None;
--- a/crates/handout/src/evidence.rs
+++ b/crates/handout/src/evidence.rs
@@ -300,6 +300,12 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig {
+            failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+            ..ProptestConfig::default()
+        })]
+
         #[test]
         fn whatever_is_reported_no_event_contradicts_itself(
             reports in prop::collection::vec(
--- a/crates/handout/src/ledger.rs
+++ b/crates/handout/src/ledger.rs
@@ -174,6 +174,12 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig {
+            failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+            ..ProptestConfig::default()
+        })]
+
         /// Whatever was sent, accepted, refused or lost: with the rest given to all others the sum keeps the cap,
         /// wherever what is stuck leaves room for that at all.
         #[test]
--- a/crates/handout/src/order.rs
+++ b/crates/handout/src/order.rs
@@ -125,6 +125,11 @@
     key: Option<Vec<u8>>,
 }
 
+/// The label of a content under a stamp.
+pub fn label(stamp: &str, content: u64) -> String {
+    format!("{stamp}.{content:016x}")
+}
+
 impl std::fmt::Debug for Labels {
     /// Never the key.
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
@@ -155,8 +160,8 @@
         Some(digits[..SIGNED].to_string())
     }
 
-    /// The label of a content on a basis.
-    pub fn write(&self, basis: &Basis, content: u64) -> String {
+    /// The stamp of a basis: a label is a stamp and a content. Signing it once serves all that is handed out on it.
+    pub fn stamp(&self, basis: &Basis) -> String {
         let NewsMark { build, way, stage, cap, since } = basis.news;
         let way = match way {
             Way::OnTrial => 't',
@@ -166,22 +171,28 @@
             Way::Withdrawn => 'w',
         };
         let ListMark { epoch, version } = basis.list;
-        let body = format!("b{build}.{way}{stage}.{cap}.{since}.l{epoch}.{version}.{content:016x}");
+        let body = format!("b{build}.{way}{stage}.{cap}.{since}.l{epoch}.{version}");
         match self.sign(&body) {
             Some(signature) => format!("{body}.{signature}"),
             None => body,
         }
     }
 
+    /// The label of a content on a basis.
+    pub fn write(&self, basis: &Basis, content: u64) -> String {
+        label(&self.stamp(basis), content)
+    }
+
     /// What a label tells; none where it is no label of this form, or its signature is wrong.
     pub fn read(&self, text: &str) -> Option<Label> {
         if text.len() > LABEL_MOST || !text.is_ascii() {
             return None;
         }
         let parts: Vec<&str> = text.split('.').collect();
+        let (stamp, content) = text.rsplit_once('.')?;
         let (body, signature) = match parts.len() {
-            7 => (text, None),
-            8 => text.rsplit_once('.').map(|(body, signature)| (body, Some(signature)))?,
+            7 => (stamp, None),
+            8 => stamp.rsplit_once('.').map(|(body, signature)| (body, Some(signature)))?,
             _ => return None,
         };
         // A wrong signature is a forgery; one that cannot be checked tells no more than a plain label.
@@ -214,7 +225,7 @@
         };
         let epoch = parts[4].strip_prefix('l')?.parse().ok()?;
         let list = ListMark { epoch, version: parts[5].parse().ok()? };
-        let content = (parts[6].len() == 16).then(|| u64::from_str_radix(parts[6], 16).ok())??;
+        let content = (content.len() == 16).then(|| u64::from_str_radix(content, 16).ok())??;
         Some(Label { basis: Basis { news, list }, content, signed })
     }
 }
@@ -242,6 +253,12 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig {
+            failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+            ..ProptestConfig::default()
+        })]
+
         #[test]
         fn a_label_tells_what_it_was_made_of(basis in basis(), content: u64, key in "[a-z]{0,9}") {
             let labels = Labels::new(Some(key.clone().into_bytes()));
@@ -256,8 +273,8 @@
             let mut forged = labels.write(&basis, 7);
             let at = at % forged.len();
             forged.replace_range(at..=at, &to);
-            let changed = forged != labels.write(&basis, 7);
-            prop_assert!(!changed || labels.read(&forged).is_none_or(|label| !label.signed));
+            let read = labels.read(&forged).filter(|label| label.signed);
+            prop_assert!(read.is_none_or(|label| label.basis == basis), "{forged}");
         }
 
         #[test]
--- a/crates/handout/src/shares.rs
+++ b/crates/handout/src/shares.rs
@@ -52,6 +52,12 @@
     use rand_pcg::Pcg64Mcg;
 
     proptest! {
+        #![proptest_config(ProptestConfig {
+            failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+            ..ProptestConfig::default()
+        })]
+
         #[test]
         fn it_grows_with_cap_free_and_traffic_and_stays_below_the_cap(
             cap in 0.001f64..0.999, free in 0.0f64..20.0, least in 0.0f64..1e6
--- a/crates/handout/src/world.rs
+++ b/crates/handout/src/world.rs
@@ -147,6 +147,11 @@
         &self.withdrawn
     }
 
+    /// The list that is held is older than one known of: it has to be asked for whole.
+    pub fn list_behind(&self) -> bool {
+        self.list.is_some_and(|list| list < self.furthest)
+    }
+
     /// What a handout made now is based on; none while none may be made, and why.
     pub fn basis(&self) -> Result<Basis, &'static str> {
         let list = self.list.ok_or("the list was not heard whole yet")?;
@@ -218,6 +223,12 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig {
+            failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+            ..ProptestConfig::default()
+        })]
+
         /// Over any news, lists and evidence the basis only ever moves on.
         #[test]
         fn no_basis_is_followed_by_one_that_does_not_cover_it(
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -3,17 +3,25 @@
 use crate::cache::{Cache, Wanted};
 use bytes::Bytes;
 use latchhaven_xds::codec::Pieces;
+use latchhaven_xds::loads::TOOK;
+use latchhaven_xds::pb::envoy::config::core::v3::{Address, Node, SocketAddress, address, socket_address};
+use latchhaven_xds::pb::envoy::config::endpoint::v3::{
+    ClusterStats, EndpointLoadMetricStats, UpstreamEndpointStats, UpstreamLocalityStats,
+};
 use latchhaven_xds::pb::envoy::service::discovery::v3::{DeltaDiscoveryResponse, DiscoveryResponse};
 use latchhaven_xds::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
+use latchhaven_xds::pb::google::protobuf::Duration as Span;
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use std::time::Instant;
 use tokio::select;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::Status;
 use tonic::client::Grpc;
@@ -178,3 +186,103 @@
         }
     }
 }
+
+/// How the txns of a stand-in went: by cluster, a share that fails and the mean time of the others in ms.
+pub type Goes = Arc<dyn Fn(&str) -> (f64, f64) + Send + Sync>;
+
+/// Hosts that one report names in each cluster at most: a proxy meets few in a second.
+const HOSTS_REPORTED: usize = 5;
+
+/// A load report over a second in which so many txns of each product went by what a cache holds.
+pub fn loads(
+    cache: &Cache, node: &str, products: &[&str], txns: u64, goes: &Goes, rng: &mut Pcg64Mcg,
+) -> LoadStatsRequest {
+    let mut clusters = Vec::new();
+    for product in products {
+        for (cluster, part) in cache.way(product, false).map(|way| way.parts.clone()).unwrap_or_default() {
+            let (hosts, _) = cache.hosts(&cluster);
+            let hosts: Vec<_> = hosts.into_iter().filter(|host| host.healthy).collect();
+            let count = (txns as f64 * f64::from(part) / 1e6 + rng.random::<f64>()) as u64;
+            if hosts.is_empty() || count == 0 {
+                continue;
+            }
+            let (fails, took) = goes(&cluster);
+            let first = rng.random_range(0..hosts.len());
+            let mut reported = BTreeMap::new();
+            for n in 0..count {
+                let host = &hosts[(first + n as usize % HOSTS_REPORTED) % hosts.len()];
+                let sums: &mut (u64, u64) = reported.entry(host.addr).or_default();
+                if rng.random::<f64>() < fails { sums.1 += 1 } else { sums.0 += 1 }
+            }
+            let stats = reported.into_iter().map(|(addr, (settled, failed))| UpstreamEndpointStats {
+                address: Some(address(addr)),
+                total_successful_requests: settled,
+                total_error_requests: failed,
+                total_issued_requests: settled + failed,
+                load_metric_stats: vec![EndpointLoadMetricStats {
+                    metric_name: TOOK.to_string(),
+                    num_requests_finished_with_metric: settled,
+                    total_metric_value: took * settled as f64,
+                }],
+                ..UpstreamEndpointStats::default()
+            });
+            let locality = UpstreamLocalityStats {
+                upstream_endpoint_stats: stats.collect(),
+                ..UpstreamLocalityStats::default()
+            };
+            clusters.push(ClusterStats {
+                cluster_name: cluster,
+                upstream_locality_stats: vec![locality],
+                load_report_interval: Some(Span { seconds: 1, nanos: 0 }),
+                ..ClusterStats::default()
+            });
+        }
+    }
+    let node = Some(Node { id: node.to_string(), ..Node::default() });
+    LoadStatsRequest { node, cluster_stats: clusters }
+}
+
+fn address(addr: SocketAddr) -> Address {
+    let port = socket_address::PortSpecifier::PortValue(u32::from(addr.port()));
+    let socket =
+        SocketAddress { address: addr.ip().to_string(), port_specifier: Some(port), ..Default::default() };
+    Address { address: Some(address::Address::SocketAddress(socket)) }
+}
+
+impl Proxy {
+    /// Reports once a second, as long as it is not cut off, how so many txns a second went.
+    pub async fn reports(
+        self, mut orders: watch::Receiver<Orders>, seed: u64, products: &'static [&'static str], txns: u64,
+        goes: Goes,
+    ) {
+        let mut rng =
+            Pcg64Mcg::seed_from_u64(seed ^ (self.number as u64 + 1).wrapping_mul(0x2545_f491_4f6c_dd1d));
+        let node = format!("proxy-{}", self.number);
+        loop {
+            let order = orders.borrow_and_update().clone();
+            if order.ends {
+                return;
+            }
+            if let Some(service) = order.service {
+                let (sends, sent) = mpsc::channel(1);
+                let sending = async {
+                    sleep(Duration::from_millis(rng.random_range(0..1000))).await;
+                    loop {
+                        let report = loads(&self.cache(), &node, products, txns, &goes, &mut rng);
+                        if sends.send(report).await.is_err() {
+                            return;
+                        }
+                        sleep(Duration::from_secs(1)).await;
+                    }
+                };
+                select! {
+                    _ = report(service, sent) => sleep(AGAIN).await,
+                    () = sending => {}
+                    changed = orders.changed() => if changed.is_err() { return },
+                }
+            } else if orders.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Signs of life come this often: a feed shows one every second, the list every two.
 const ALIVE: Duration = Duration::from_millis(900);
@@ -15,6 +15,16 @@
     version: u64,
     hosts: Vec<Value>,
     news: Value,
+    since: Instant,
+}
+
+impl State {
+    /// The newest build's state, with the age that it has by now.
+    fn news(&self) -> Value {
+        let mut news = self.news.clone();
+        news["observedAgoMs"] = json!(self.since.elapsed().as_millis() as u64);
+        news
+    }
 }
 
 /// The two services and what they tell.
@@ -31,7 +41,7 @@
 impl Site {
     /// Starts with a list at this version and a state of the newest build.
     pub fn start(version: u64, hosts: Vec<Value>, news: Value) -> Self {
-        let state = Arc::new(Mutex::new(State { version, hosts, news }));
+        let state = Arc::new(Mutex::new(State { version, hosts, news, since: Instant::now() }));
         let held = state.clone();
         let list = Service::start(move |call| {
             let state = held.lock().unwrap_or_else(PoisonError::into_inner);
@@ -47,9 +57,9 @@
         let held = state.clone();
         let platform = Service::start(move |call| {
             let state = held.lock().unwrap_or_else(PoisonError::into_inner);
-            let line = json!({"type": "ROLLOUT", "object": state.news}).to_string();
+            let line = json!({"type": "ROLLOUT", "object": state.news()}).to_string();
             match call.contains("ballots") {
-                true => Says::Bytes(answer(200, &state.news.to_string())),
+                true => Says::Bytes(answer(200, &state.news().to_string())),
                 false => Says::Bytes(format!("{STREAM}{}", chunk(&format!("{line}\n")))),
             }
         });
@@ -85,8 +95,8 @@
     /// Tells another state of the newest build.
     pub fn rollout(&self, build: u32, stage: u32, status: &str, cap: f64) {
         let mut state = self.held();
-        state.news = crate::wire::state(build, stage, status, cap);
-        self.platform.tell(&json!({"type": "ROLLOUT", "object": state.news}));
+        (state.news, state.since) = (crate::wire::state(build, stage, status, cap), Instant::now());
+        self.platform.tell(&json!({"type": "ROLLOUT", "object": state.news()}));
     }
 
     /// Tells a tally.
--- a/crates/xds/src/admission.rs
+++ b/crates/xds/src/admission.rs
@@ -109,6 +109,12 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig {
+            failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+            ..ProptestConfig::default()
+        })]
+
         #[test]
         fn never_more_than_the_most_nor_faster_than_the_rate(
             steps in prop::collection::vec((0u8..3, 0u64..40, 0u8..6), 0..300)
--- a/crates/xds/src/server.rs
+++ b/crates/xds/src/server.rs
@@ -41,6 +41,8 @@
 /// How often a silent connection is asked for a sign of life, and how long that is waited for.
 const ALIVE: Duration = Duration::from_secs(10);
 const ALIVE_WITHIN: Duration = Duration::from_secs(5);
+/// A proxy that comes back has so long to name what it holds before it is sent clusters.
+const NAMING: Duration = Duration::from_secs(1);
 /// Streams on one connection: discovery, loads, and single types.
 const STREAMS: u32 = 16;
 /// Connections that say nothing may be held too: this many for each stream that may be open.
@@ -259,35 +261,30 @@
 type Answers = ReceiverStream<Result<Vec<Bytes>, Status>>;
 type Answering = Pin<Box<dyn Future<Output = Result<Response<Answers>, Status>> + Send>>;
 
-/// Requests of both forms, as what they ask.
-trait Asks: Message + Default + 'static {
-    fn ask(self) -> Ask;
-}
-
-impl Asks for DiscoveryRequest {
-    fn ask(self) -> Ask {
+impl From<DiscoveryRequest> for Ask {
+    fn from(request: DiscoveryRequest) -> Ask {
         Ask {
-            url: self.type_url,
-            node: self.node.map(|node| node.id),
-            names: self.resource_names,
-            nonce: self.response_nonce,
-            version: self.version_info,
-            error: self.error_detail.map(|error| error.message),
+            url: request.type_url,
+            node: request.node.map(|node| node.id),
+            names: request.resource_names,
+            nonce: request.response_nonce,
+            version: request.version_info,
+            error: request.error_detail.map(|error| error.message),
             ..Ask::default()
         }
     }
 }
 
-impl Asks for DeltaDiscoveryRequest {
-    fn ask(self) -> Ask {
+impl From<DeltaDiscoveryRequest> for Ask {
+    fn from(request: DeltaDiscoveryRequest) -> Ask {
         Ask {
-            url: self.type_url,
-            node: self.node.map(|node| node.id),
-            names: self.resource_names_subscribe,
-            without: self.resource_names_unsubscribe,
-            nonce: self.response_nonce,
-            held: self.initial_resource_versions.into_iter().collect(),
-            error: self.error_detail.map(|error| error.message),
+            url: request.type_url,
+            node: request.node.map(|node| node.id),
+            names: request.resource_names_subscribe,
+            without: request.resource_names_unsubscribe,
+            nonce: request.response_nonce,
+            held: request.initial_resource_versions.into_iter().collect(),
+            error: request.error_detail.map(|error| error.message),
             ..Ask::default()
         }
     }
@@ -300,7 +297,7 @@
     only: Option<Kind>,
 }
 
-impl<R: Asks> StreamingService<R> for Discovery {
+impl<R: Into<Ask> + Send + 'static> StreamingService<R> for Discovery {
     type Response = Vec<Bytes>;
     type ResponseStream = Answers;
     type Future = Answering;
@@ -333,7 +330,7 @@
     }
 }
 
-async fn discover<R: Asks>(
+async fn discover<R: Into<Ask>>(
     mut asks: Streaming<R>, mut stream: Stream, number: u64, incremental: bool, mut ground: Ground,
     answers: &mpsc::Sender<Result<Vec<Bytes>, Status>>,
 ) -> Result<(), Status> {
@@ -341,10 +338,11 @@
     let Some(first) = first.map_err(|_| Status::deadline_exceeded("nothing was asked"))?? else {
         return Ok(());
     };
-    stream.ask(first.ask()).map_err(status)?;
+    stream.ask(first.into()).map_err(status)?;
     let node = stream.node().unwrap_or_default().to_string();
     knock(&ground.told, number, node).await?;
     let over = || Status::unavailable("the control service ends");
+    let (mut naming, mut named) = (std::pin::pin!(sleep(NAMING)), false);
     loop {
         let said = stream.said();
         if !said.is_empty() {
@@ -356,7 +354,7 @@
         select! {
             biased;
             ask = asks.message() => match ask? {
-                Some(ask) => stream.ask(ask.ask()).map_err(status)?,
+                Some(ask) => stream.ask(ask.into()).map_err(status)?,
                 None => return Ok(()),
             },
             room = room, if ready => {
@@ -386,10 +384,14 @@
                         // Nothing to say until something is asked or decided.
                         select! {
                             ask = asks.message() => match ask? {
-                                Some(ask) => stream.ask(ask.ask()).map_err(status)?,
+                                Some(ask) => stream.ask(ask.into()).map_err(status)?,
                                 None => return Ok(()),
                             },
                             changed = ground.snapshots.changed() => changed.map_err(|_| over())?,
+                            () = &mut naming, if !named => {
+                                named = true;
+                                stream.hasten();
+                            }
                         }
                     }
                 }
--- a/crates/xds/src/stream.rs
+++ b/crates/xds/src/stream.rs
@@ -7,7 +7,7 @@
 //! - *Never backwards*: nothing is sent while the snapshot is older, in any part, than what the proxy holds.
 //! - *One pending answer a type*; a refused one is not sent again while its bytes are the same.
 
-use crate::resources::{Kind, Resource, Set, Snapshot};
+use crate::resources::{Kind, Resource, Set, Snapshot, field};
 use bytes::{BufMut, Bytes, BytesMut};
 use latchhaven_handout::ledger::Shares;
 use latchhaven_handout::order::{Basis, Label, Labels};
@@ -22,6 +22,8 @@
 const NODE_MOST: usize = 256;
 /// Resources that a proxy may say it holds: clusters and hosts of several builds.
 const HELD_MOST: usize = 20_000;
+/// Builds that are gone and whose clusters a proxy that came back may keep for a while.
+const GONE_MOST: usize = 8;
 /// Requests with nonces that were never given, until the stream ends.
 const FAULTS: u32 = 16;
 /// Bytes of a proxy's words on what it refused that are kept.
@@ -123,6 +125,7 @@
     kinds: BTreeMap<Kind, Per>,
     given: u64,
     faults: u32,
+    hastened: bool,
     said: Vec<Said>,
 }
 
@@ -141,7 +144,7 @@
     /// A stream that nothing was heard on yet; `only`: it carries this one type.
     pub fn new(incremental: bool, only: Option<Kind>, labels: Labels) -> Self {
         let (node, kinds, said) = (None, BTreeMap::new(), Vec::new());
-        Stream { incremental, only, labels, node, kinds, given: 0, faults: 0, said }
+        Stream { incremental, only, labels, node, kinds, given: 0, faults: 0, hastened: false, said }
     }
 
     /// The proxy's id, once it told it.
@@ -154,6 +157,11 @@
         std::mem::take(&mut self.said)
     }
 
+    /// No more requests are waited for before clusters go out: the proxy has had time to name what it holds.
+    pub fn hasten(&mut self) {
+        self.hastened = true;
+    }
+
     /// Takes a request in.
     ///
     /// # Errors
@@ -259,8 +267,13 @@
         }
         for resource in pending.resources {
             per.refused_apart.remove(&resource.name);
-            let held = Held { hash: resource.hash, resource: Some(resource.clone()) };
-            per.held.insert(resource.name.clone(), held);
+            // Let go while the answer was on its way: the proxy has dropped it.
+            let named =
+                per.names.contains(&resource.name) || per.names.iter().any(|n| globbed(n, &resource.name));
+            if per.wild || named {
+                let held = Held { hash: resource.hash, resource: Some(resource.clone()) };
+                per.held.insert(resource.name.clone(), held);
+            }
         }
         pending.removed.iter().for_each(|name| drop(per.held.remove(name)));
         per.refused = None;
@@ -317,13 +330,16 @@
         Kind::ALL.into_iter().find_map(|kind| self.next_of(kind, snapshot))
     }
 
-    /// True where all that was asked for is held, as the snapshot has it.
-    pub fn settled(&self, snapshot: &Snapshot) -> bool {
-        self.kinds.iter().filter(|(_, per)| per.asked).all(|(kind, per)| {
-            let (_, set) = snapshot.set(*kind, self.incremental);
-            per.pending.is_none()
-                && wanted(per, set).all(|new| per.held.get(&new.name).is_some_and(|h| h.hash == new.hash))
-        })
+    /// A type of which something that was asked for is not held as the snapshot has it, or is not known to be.
+    pub fn unsettled(&self, snapshot: &Snapshot) -> Option<Kind> {
+        let asked = self.kinds.iter().filter(|(_, per)| per.asked);
+        let behind = |(kind, per): &(&Kind, &Per)| {
+            let (_, set) = snapshot.set(**kind, self.incremental);
+            let held =
+                |new: &Arc<Resource>| per.held.get(&new.name).is_some_and(|held| held.hash == new.hash);
+            per.pending.is_some() || !wanted(per, set).all(held)
+        };
+        asked.into_iter().find(behind).map(|(kind, _)| *kind)
     }
 
     fn next_of(&mut self, kind: Kind, snapshot: &Snapshot) -> Option<Answer> {
@@ -335,20 +351,32 @@
         if kind == Kind::Route && !self.grounded(snapshot) {
             return None;
         }
-        let (label, set) = snapshot.set(kind, self.incremental);
+        // A proxy that came back tells which endpoints it holds: clusters that its routes name must not go first.
+        let named = self.kinds.get(&Kind::Endpoint).is_some_and(|per| per.asked);
+        let waits = kind == Kind::Cluster && !self.incremental && self.only.is_none() && per.guard.is_some();
+        if waits && !named && !self.hastened {
+            return None;
+        }
+        let (sum, set) = snapshot.set(kind, self.incremental);
         let kept = if kind == Kind::Cluster { self.referred(snapshot) } else { None };
         let keeps = |name: &String| match (kind, &kept) {
             (Kind::Cluster, None) => true,
             (Kind::Cluster, Some(kept)) => kept.contains(name),
             // Endpoints stay as long as their cluster does.
             (Kind::Endpoint, _) => self.kinds.get(&Kind::Cluster).is_some_and(|clusters| {
-                let held = clusters.held.values().filter_map(|held| held.resource.as_ref());
-                held.into_iter().any(|cluster| cluster.refers.contains(name))
+                clusters.held.iter().any(|(cluster, held)| match &held.resource {
+                    Some(resource) => resource.refers.contains(name),
+                    // Held from an earlier stream: its name tells as much.
+                    None => cluster.split_once('/').is_some_and(|(build, _)| build == name),
+                })
             }),
             _ => false,
         };
-        let answer =
-            if self.incremental { self.apart(kind, set, keeps) } else { self.whole(kind, set, keeps) };
+        let answer = if self.incremental {
+            self.apart(kind, set, keeps)
+        } else {
+            self.whole(kind, snapshot, set, keeps)
+        };
         let Some((resources, removed, all)) = answer else {
             // Routes that were held all along count as accepted.
             let per = self.kinds.get_mut(&kind)?;
@@ -365,7 +393,7 @@
         self.given += 1;
         let nonce = self.given.to_string();
         let trial = (kind == Kind::Route).then(|| snapshot.trial.clone());
-        let pieces = pieces(kind, self.incremental, label, &resources, &removed, &nonce);
+        let pieces = pieces(kind, self.incremental, snapshot, sum, &resources, &removed, &nonce);
         let per = self.kinds.get_mut(&kind)?;
         (per.nonce, per.owed, per.guard) = (nonce, false, None);
         per.owed_names.clear();
@@ -376,7 +404,7 @@
 
     /// A whole answer: for types without names everything, for others what is new.
     fn whole(
-        &self, kind: Kind, set: &Set, keeps: impl Fn(&String) -> bool,
+        &self, kind: Kind, snapshot: &Snapshot, set: &Set, keeps: impl Fn(&String) -> bool,
     ) -> Option<(Vec<Arc<Resource>>, Vec<String>, bool)> {
         let per = &self.kinds[&kind];
         let held = |new: &Resource| per.held.get(&new.name).is_some_and(|held| held.hash == new.hash);
@@ -389,6 +417,17 @@
         let gone = per.held.iter().filter(|(name, _)| !set.contains_key(*name));
         let stays = gone.filter(|(name, _)| keeps(name)).filter_map(|(_, held)| held.resource.clone());
         all.extend(stays);
+        if kind == Kind::Cluster && per.wild {
+            let named = self.kinds.get(&Kind::Endpoint).into_iter().flat_map(|per| &per.names);
+            let (_, endpoints) = snapshot.set(Kind::Endpoint, false);
+            let gone = named.filter(|name| !endpoints.contains_key(*name)).take(GONE_MOST);
+            for cluster in gone.flat_map(|name| snapshot.gone(name)) {
+                if keeps(&cluster.name) && !all.iter().any(|kept| kept.name == cluster.name) {
+                    all.push(cluster);
+                }
+            }
+            all.sort_by(|a, b| a.name.cmp(&b.name));
+        }
         let same = all.len() == per.held.len() && all.iter().all(|new| held(new));
         let refused = per.refused == Some(content(&all));
         ((per.owed || !same) && !refused).then_some((all, Vec::new(), true))
@@ -474,24 +513,32 @@
 
 /// An answer on the wire. Resources come first: they are shared, and the order of fields is free.
 fn pieces(
-    kind: Kind, incremental: bool, label: &str, resources: &[Arc<Resource>], removed: &[String], nonce: &str,
+    kind: Kind, incremental: bool, snapshot: &Snapshot, all: u64, resources: &[Arc<Resource>],
+    removed: &[String], nonce: &str,
 ) -> Vec<Bytes> {
-    let part =
-        |resource: &Arc<Resource>| if incremental { resource.apart.clone() } else { resource.whole.clone() };
-    let mut pieces: Vec<Bytes> = resources.iter().map(part).collect();
-    let mut rest = BytesMut::new();
-    let mut text = |tag: u32, text: &str| {
-        encode_key(tag, WireType::LengthDelimited, &mut rest);
-        encode_varint(text.len() as u64, &mut rest);
-        rest.put_slice(text.as_bytes());
-    };
+    let mut pieces = Vec::with_capacity(2 * resources.len() + 1);
+    for resource in resources {
+        if incremental {
+            // Resource: version 1, resource 2, name 3; the shared bytes are its field 2 already.
+            let mut inner = BytesMut::new();
+            field(1, snapshot.label(resource.hash).as_bytes(), &mut inner);
+            field(3, resource.name.as_bytes(), &mut inner);
+            let mut head = BytesMut::new();
+            encode_key(2, WireType::LengthDelimited, &mut head);
+            encode_varint((inner.len() + resource.any.len()) as u64, &mut head);
+            head.put_slice(&inner);
+            pieces.push(head.freeze());
+        }
+        pieces.push(resource.any.clone());
+    }
     // DiscoveryResponse: version_info 1, type_url 4, nonce 5. DeltaDiscoveryResponse: system_version_info 1,
     // type_url 4, nonce 5, removed_resources 6.
-    text(1, label);
-    text(4, kind.url());
-    text(5, nonce);
+    let mut rest = BytesMut::new();
+    field(1, snapshot.label(all).as_bytes(), &mut rest);
+    field(4, kind.url().as_bytes(), &mut rest);
+    field(5, nonce.as_bytes(), &mut rest);
     if incremental {
-        removed.iter().for_each(|name| text(6, name));
+        removed.iter().for_each(|name| field(6, name.as_bytes(), &mut rest));
     }
     pieces.push(rest.freeze());
     pieces
--- /dev/null
+++ b/crates/xds/tests/model.rs
@@ -0,0 +1,321 @@
+//! Proxies, two services and a world that moves on, over random news, lists, losses, refusals and restarts: no proxy's
+//! state ever goes back, no reference dangles, and all converge once things are quiet.
+
+use latchhaven::api::*;
+use latchhaven_handout::handout::{self, Terms};
+use latchhaven_handout::ledger::Ledger;
+use latchhaven_handout::order::Labels;
+use latchhaven_handout::world::World;
+use latchhaven_standins::cache::{Cache, Wanted};
+use latchhaven_xds::pb::envoy::service::discovery::v3::{DeltaDiscoveryResponse, DiscoveryResponse};
+use latchhaven_xds::resources::{Front, Kind, Snapshot};
+use latchhaven_xds::stream::{Answer, Ask, Said, Stream};
+use proptest::prelude::*;
+use prost::Message;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// The world at one moment: the newest build's state and the hosts' builds and health.
+#[derive(Clone, Debug)]
+struct Moment {
+    news: StageNews,
+    hosts: Vec<(Build, bool)>,
+    version: u64,
+    at: Ms,
+    /// When the newest build came to stand so.
+    since: Ms,
+}
+
+fn products() -> Vec<Product> {
+    let product = |name: &str, effect| Product {
+        name: name.to_string(),
+        effect,
+        group: Group::All,
+        remember: 5000.0,
+        sla: 600.0,
+        sla_stretch: 0.0,
+        expiry: 2000.0,
+        revenue: 1.0,
+        late_share: 0.0,
+        streamed: false,
+    };
+    vec![product("look", Effect::InquiryLike), product("pay", Effect::OnceOnly)]
+}
+
+fn addr(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 2000 + n as u16))
+}
+
+/// The next moment: a new build, a stage on, back, withdrawn, or a host that drains, goes or comes back.
+fn next(now: &Moment, kind: u8, pick: usize) -> Moment {
+    let mut next = now.clone();
+    next.at += 5_000.0;
+    let news = &mut next.news;
+    let before = news.clone();
+    match (kind % 6, news.phase) {
+        (0, Phase::Released | Phase::Withdrawn) => {
+            let (build, stage, phase, cap) = (news.build + 1, 0, Phase::OnTrial, 0.1);
+            *news = StageNews { build, stage, phase, cap, ..news.clone() };
+            let n = pick % next.hosts.len();
+            next.hosts[n] = (build, true);
+            next.version += 1;
+        }
+        (1, Phase::OnTrial) if news.stage < 2 => (news.stage, news.cap) = (news.stage + 1, 0.5),
+        (1, Phase::OnTrial) => {
+            (news.phase, news.cap) = (Phase::Released, 1.0);
+            let build = news.build;
+            next.hosts.iter_mut().for_each(|host| host.0 = build);
+            next.version += 1;
+        }
+        (2, Phase::OnTrial | Phase::Released) => (news.phase, news.cap) = (Phase::GoingBack, 0.0),
+        (3, Phase::GoingBack) => {
+            news.phase = Phase::Withdrawn;
+            let (bad, good) = (news.build, news.build - 1);
+            next.hosts.iter_mut().filter(|host| host.0 == bad).for_each(|host| host.0 = good);
+            next.version += 1;
+        }
+        _ => {
+            let n = pick % next.hosts.len();
+            next.hosts[n].1 = !next.hosts[n].1;
+            next.version += 1;
+        }
+    }
+    next.since = if next.news == before { now.since } else { next.at };
+    next
+}
+
+struct Service {
+    world: World,
+    snapshot: Option<Snapshot>,
+    /// How far in the moments it has heard.
+    heard: usize,
+}
+
+impl Service {
+    fn new() -> Self {
+        Service { world: World::default(), snapshot: None, heard: 0 }
+    }
+
+    fn hear(&mut self, moment: &Moment, labels: &Labels, apart: bool) {
+        let news = StageNews { age: moment.at - moment.since, ..moment.news.clone() };
+        self.world.platform(&news, false, moment.at);
+        self.world.list(moment.version, true, moment.at);
+        self.make(moment, labels, apart);
+    }
+
+    fn make(&mut self, moment: &Moment, labels: &Labels, apart: bool) {
+        let Ok(basis) = self.world.basis() else { return };
+        // What is known of the newest build may be ahead of this moment, by what proxies hold.
+        let news = basis.news.news(moment.at);
+        let on = news.phase != Phase::Released && moment.hosts.iter().any(|host| host.0 == news.build);
+        let trials =
+            if on { vec![Trial { build: news.build, cap: news.cap, stage: news.stage }] } else { Vec::new() };
+        let instances = moment.hosts.iter().enumerate().map(|(n, (build, ready))| Outlooked {
+            instance: format!("s{n}"),
+            build: *build,
+            zone: format!("z{}", n % 2),
+            ready: *ready,
+            aside: false,
+            capacity: 1.0,
+            cold: false,
+        });
+        let share = if news.phase == Phase::OnTrial { 0.5 } else { 0.0 };
+        let outlook = Outlook { trials, share, instances: instances.collect(), ..Outlook::default() };
+        let exposure =
+            ExposureTerms { free: 2.0, caps: vec![0.1], window: 2000.0, ..ExposureTerms::default() };
+        let cold = ColdStart { multiple: 3.0, ..ColdStart::default() };
+        let terms = Terms { products: products(), exposure, cold, submissions: 3, in_flight_per_host: 64 };
+        let addresses: BTreeMap<_, _> = (0..moment.hosts.len()).map(|n| (format!("s{n}"), addr(n))).collect();
+        let mut ledger = Ledger::new(10);
+        ledger.came(1);
+        ledger.carries(1, vec![1.0, 1.0]);
+        let made = handout::make(&outlook, &terms, self.world.withdrawn(), &addresses, &ledger, moment.at);
+        let front = Front {
+            listener: addr(0),
+            product_header: "x-product".to_string(),
+            key_header: "x-key".to_string(),
+            connect_within: 250.0,
+            hosts_apart: apart,
+        };
+        let made_of = std::sync::Arc::new((terms.products, front));
+        let snapshot = Snapshot::make(&made, basis, &made_of, labels, self.snapshot.as_ref());
+        self.snapshot = Some(snapshot);
+    }
+}
+
+struct Client {
+    cache: Cache,
+    /// Its stream: to which service, and what is under way in both directions.
+    stream: Option<(usize, Stream, VecDeque<Wanted>, VecDeque<Answer>)>,
+}
+
+impl Client {
+    fn connect(&mut self, to: usize, labels: &Labels) {
+        let asks = self.cache.open().into();
+        let stream = Stream::new(self.cache.incremental(), None, labels.clone());
+        self.stream = Some((to, stream, asks, VecDeque::new()));
+    }
+
+    /// One request reaches the service.
+    fn ask(&mut self, services: &mut [Service], now: Ms) {
+        let Some((to, stream, asks, _)) = &mut self.stream else { return };
+        let Some(ask) = asks.pop_front() else { return };
+        let ask = match ask {
+            Wanted::Whole(ask) => Ask::from(ask),
+            Wanted::Apart(ask) => Ask::from(ask),
+        };
+        stream.ask(ask).expect("a sound proxy");
+        for said in stream.said() {
+            if let Said::Holds(label) = said {
+                services[*to].world.evidence(&label, now);
+            }
+        }
+    }
+
+    /// The service has room for one answer.
+    fn answer(&mut self, services: &[Service]) {
+        let Some((to, stream, _, answers)) = &mut self.stream else { return };
+        if let Some(answer) = services[*to].snapshot.as_ref().and_then(|snapshot| stream.next(snapshot)) {
+            answers.push_back(answer);
+        }
+        assert!(answers.len() <= Kind::ALL.len(), "one pending answer a type");
+    }
+
+    /// One answer reaches the proxy.
+    fn take(&mut self, refuse: bool) {
+        let Some((_, _, asks, answers)) = &mut self.stream else { return };
+        let Some(answer) = answers.pop_front() else { return };
+        let bytes = answer.pieces.concat();
+        asks.extend(match self.cache.incremental() {
+            false => self.cache.whole(&DiscoveryResponse::decode(bytes.as_slice()).unwrap(), refuse),
+            true => self.cache.apart(&DeltaDiscoveryResponse::decode(bytes.as_slice()).unwrap(), refuse),
+        });
+        assert_eq!(self.cache.regressions, 0, "a state went back");
+        assert_eq!(
+            self.cache.dangling,
+            0,
+            "{:?} dangles {:?} DUMP {:?}",
+            self.cache.dangles(),
+            answer,
+            self.cache
+        );
+    }
+}
+
+fn play(steps: Vec<(u8, u8, usize, bool)>, apart: bool) {
+    let labels = Labels::new(Some(b"site".to_vec()));
+    let news = StageNews {
+        valid: true,
+        unsure: false,
+        answer: false,
+        build: 1,
+        stage: 0,
+        phase: Phase::Released,
+        cap: 1.0,
+        age: 0.0,
+    };
+    let mut moments =
+        vec![Moment { news, hosts: vec![(1, true); 4], version: 1, at: 10_000.0, since: 9_000.0 }];
+    let mut services = [Service::new(), Service::new()];
+    let clients = (0..4).map(|n| Client { cache: Cache::new(&format!("p{n}"), n % 2 == 0), stream: None });
+    let mut clients: Vec<Client> = clients.collect();
+    for (kind, what, pick, refuse) in steps {
+        let now = moments.last().unwrap().at;
+        let client = pick % clients.len();
+        let service = pick / 7 % 2;
+        match kind % 10 {
+            0 => {
+                let next = next(&moments[moments.len() - 1], what, pick);
+                moments.push(next);
+            }
+            // A service hears more, but perhaps not all: its list and news may be old.
+            1 | 2 => {
+                let heard = &mut services[service].heard;
+                *heard = (*heard + 1 + usize::from(what) % 3).min(moments.len() - 1);
+                let moment = moments[*heard].clone();
+                services[service].hear(&moment, &labels, apart);
+            }
+            3 if what % 4 == 0 => {
+                // Restarted, with a list that may be older than what it had handed out.
+                services[service] = Service { heard: pick % moments.len(), ..Service::new() };
+                let moment = moments[services[service].heard].clone();
+                services[service].hear(&moment, &labels, apart);
+                for client in clients.iter_mut().filter(|c| c.stream.as_ref().is_some_and(|s| s.0 == service))
+                {
+                    client.stream = None;
+                }
+            }
+            3 => clients[client].stream = None,
+            4 => clients[client].connect(service, &labels),
+            5 => clients[client].ask(&mut services, now),
+            6 => clients[client].answer(&services),
+            7 => clients[client].take(refuse && what % 3 == 0),
+            // For a while all goes well there.
+            _ => {
+                for _ in 0..12 {
+                    clients[client].ask(&mut services, now);
+                    clients[client].answer(&services);
+                    clients[client].take(false);
+                }
+            }
+        }
+    }
+    // Quiet: both hear all, every proxy is connected, everything arrives.
+    let last = moments.last().unwrap().clone();
+    for service in &mut services {
+        service.hear(&last, &labels, apart);
+    }
+    for (n, client) in clients.iter_mut().enumerate() {
+        if client.stream.is_none() || client.cache.refused > 0 {
+            client.connect(n % 2, &labels);
+        }
+    }
+    for round in 0..80 {
+        for client in &mut clients {
+            if round > 20 {
+                client.stream.iter_mut().for_each(|(_, stream, ..)| stream.hasten());
+            }
+            client.ask(&mut services, last.at);
+            client.answer(&services);
+            client.take(false);
+        }
+        // As the control service does, the list is asked for whole while it is behind what is known.
+        for service in &mut services {
+            service.hear(&last, &labels, apart);
+        }
+    }
+    for client in &clients {
+        let (to, stream, ..) = client.stream.as_ref().unwrap();
+        let snapshot = services[*to].snapshot.as_ref().expect("all was heard");
+        assert_eq!(
+            stream.unsettled(snapshot),
+            None,
+            "it holds what the service has: {:?}\n {:?}\n{:?} {:?}",
+            client.cache,
+            services[*to].world,
+            snapshot.basis,
+            last
+        );
+        assert!(client.cache.dangles().is_none() && client.cache.way("look", false).is_some());
+        let way = client.cache.way("pay", false).unwrap();
+        assert!(way.retry_on == "connect-failure,refused-stream" || way.repeats == 0, "never a blind repeat");
+        if last.news.phase == Phase::Withdrawn || last.news.phase == Phase::GoingBack {
+            assert_eq!(client.cache.part("look", last.news.build), 0);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 100,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..ProptestConfig::default() })]
+
+    #[test]
+    fn nothing_goes_back_or_dangles_and_all_converge(
+        steps in prop::collection::vec((any::<u8>(), any::<u8>(), any::<usize>(), any::<bool>()), 0..250),
+        apart: bool
+    ) {
+        play(steps, apart);
+    }
+}
