--- a/crates/control/src/keep.rs
+++ b/crates/control/src/keep.rs
@@ -93,7 +93,7 @@
 impl Keeper {
     fn start(store: Database, path: PathBuf) -> Self {
         let newest = Arc::new((Mutex::new((None::<Kept>, false)), Condvar::new()));
-        let (shared, mut failing) = (newest.clone(), false);
+        let (shared, mut failing, mut first) = (newest.clone(), false, true);
         thread::spawn(move || {
             loop {
                 let (kept, over) = {
@@ -112,7 +112,10 @@
                     {
                         tracing::warn!(path = %path.display(), %why, "state: cannot be written");
                     }
-                    failing = written.is_err();
+                    if first && written.is_ok() {
+                        tracing::info!(path = %path.display(), "state: written");
+                    }
+                    (failing, first) = (written.is_err(), first && written.is_err());
                 }
                 if over {
                     return;
--- a/crates/control/tests/cases.rs
+++ b/crates/control/tests/cases.rs
@@ -391,7 +391,8 @@
         hosts.into_iter().find(|host| host.addr == addr(2)).map(|host| host.healthy)
     };
     assert_eq!(health(&proxies[0], "b1/pay"), Some(true));
-    let steps: [(&[(u16, Build, bool)], Option<bool>, Option<bool>); 3] = [
+    type Step<'a> = (&'a [(u16, Build, bool)], Option<bool>, Option<bool>);
+    let steps: [Step; 3] = [
         (&[(1, 1, true), (2, 1, false), (3, 2, true), (4, 2, true)], Some(false), None),
         (&[(1, 1, true), (3, 2, true), (4, 2, true)], None, None),
         (&[(1, 1, true), (2, 2, true), (3, 2, true), (4, 2, true)], None, Some(true)),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! Experiments on loopback: seeded, sizes as flags. Each prints one JSON object of figures last and ends with 1 where
 //! anything that must hold did not.
 
-mod machine;
+mod day;
 mod xds;
 
 use clap::{Parser, Subcommand};
@@ -19,11 +19,15 @@
 enum Word {
     /// Proxies that hold what a control service hands out, while builds roll out and hosts come and go.
     Xds(xds::Sizes),
+    /// Days in simulated time: routed by handouts, by gateways, and evenly.
+    Day(day::Sizes),
 }
 
 fn main() -> ExitCode {
-    let Word::Xds(sizes) = Line::parse().word;
-    let (figures, held) = xds::run(&sizes);
+    let (figures, held) = match Line::parse().word {
+        Word::Xds(sizes) => xds::run(&sizes),
+        Word::Day(sizes) => day::run(&sizes),
+    };
     println!("{figures}");
     if held { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/lab/src/xds.rs
+++ b/crates/lab/src/xds.rs
@@ -1,10 +1,10 @@
 //! Proxies by the thousand on one control service, while builds roll out and hosts come and go: how long a decision
 //! takes until every proxy uses it, what it costs, and that nothing goes back, dangles or breaks a cap on the way.
 
-use crate::machine::Machine;
 use clap::Args;
 use hdrhistogram::Histogram;
 use latchhaven_handout::order::{NewsMark, Way};
+use latchhaven_standins::machine::Machine;
 use latchhaven_standins::proxy::{Goes, Orders, Proxy, Seen};
 use latchhaven_standins::site::{Site, plan};
 use latchhaven_standins::wire::{host, state};
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -1,6 +1,7 @@
 //! The program: what it is asked for on its command line, its log, and how it ends.
 
 mod check;
+mod demo;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use latchhaven_gateway::serve::serve;
@@ -61,6 +62,12 @@
         #[arg(long, conflicts_with = "files")]
         schema: bool,
     },
+    /// Plays a rollout of a bad and a good build between stand-ins on loopback, in about 30 s.
+    Demo {
+        /// Seeds the decisions.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
 }
 
 fn main() -> ExitCode {
@@ -81,6 +88,7 @@
         None | Some(Word::Serve) => on_one_thread(serve()).map(|()| ExitCode::SUCCESS),
         Some(Word::Control { file }) => control(&file),
         Some(Word::Check { files, schema }) => Ok(check::check(&files, schema)),
+        Some(Word::Demo { seed }) => demo::demo(seed),
     };
     // Behind a full pipe the guard would wait, and complain where nobody reads either.
     let (done, flushed) = std::sync::mpsc::channel();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,8 +4,10 @@
 //! - [`site`]: a list and a platform that hold a state, tell it, and take votes.
 //! - [`cache`]: what a proxy that speaks xDS holds, as real ones do; pure.
 //! - [`proxy`]: such a proxy on a socket.
+//! - [`machine`]: a control service as a child, and what it uses.
 
 pub mod cache;
+pub mod machine;
 pub mod proxy;
 pub mod site;
 pub mod wire;
--- a/crates/lab/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -1,6 +1,6 @@
-//! The program under measurement: started, read from, killed; its CPU and memory as the kernel counts them.
+//! The program as a child: started, read from, killed; its CPU and memory as the kernel counts them.
 
-use latchhaven_standins::wire::program;
+use crate::wire::program;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -85,6 +85,8 @@
     Fails(&'static str),
     /// An error with this code, and ends.
     EndsWith(&'static str),
+    /// An error with this code once in so many queries, else a row.
+    FailsOneIn(usize, &'static str),
     Silent,
     /// Ends the connection once the query has come.
     Resets,
@@ -177,6 +179,10 @@
                 Does::Large(bytes) => [&row(&vec![b'v'; bytes]), READY].concat(),
                 Does::GarblesCode => [&message(b'E', b"SERROR\0C53300\0\xff\xfe"), READY].concat(),
                 Does::Fails(code) => [&error(code), READY].concat(),
+                Does::FailsOneIn(share, code) => {
+                    let asked = seen.lock().unwrap().queries.len();
+                    if asked.is_multiple_of(share.max(1)) { [&error(code), READY].concat() } else { good }
+                }
                 Does::EndsWith(code) => error(code),
                 Does::Silent => continue,
                 Does::Resets => Vec::new(),
