What a proxy holds is told once a type, and only its routes bound its share of a trial

A proxy that came back with hundreds of labels told each of them, and the last one, of whatever type, was taken for the cap that it goes by. Now one label a type, the newer of each part; routes alone count in the ledger.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -247,7 +247,7 @@
         let Some(number) = self.number(stream) else { return };
         for said in said {
             match said {
-                Said::Holds(label) => self.holds(number, &label, now),
+                Said::Holds { kind, label } => self.holds(number, kind, &label, now),
                 Said::Accepted(shares) => self.ledger.accepted(number, &shares),
                 Said::Refused { kind, words } => {
                     let node = self.streams.get(&stream).map(|(node, _)| node);
@@ -265,11 +265,13 @@
         }
     }
 
-    fn holds(&mut self, number: u64, label: &Label, now: Ms) {
+    fn holds(&mut self, number: u64, kind: Kind, label: &Label, now: Ms) {
         // It may go on by what it held, whoever told it: the cap of then bounds its share.
         let news = label.basis.news;
         let part = if matches!(news.way, Way::OnTrial | Way::GoingBack) { news.cap } else { 0 };
-        self.ledger.holds(number, vec![part; self.terms.products.len()]);
+        if kind == Kind::Route {
+            self.ledger.holds(number, vec![part; self.terms.products.len()]);
+        }
         let learnt = self.world.evidence(label, now);
         if let Some(news) = learnt {
             self.events.push(Event::Stage(news));
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -377,7 +377,7 @@
                 }
             }
             Phase::OnTrial => {
-                let voted = |verdict| self.votes.iter().any(|vote| *vote == (build, stage, verdict));
+                let voted = |verdict| self.votes.contains(&(build, stage, verdict));
                 let unjudged = self.mode == Mode::Even && stood >= UNJUDGED;
                 if voted(Verdict::Back) {
                     self.stand(build, stage, Phase::GoingBack, 0.0);
@@ -690,7 +690,7 @@
     /// The control service's turn, and what proxies hear of it.
     fn control(&mut self) {
         let now = self.now;
-        let second = (now / TICK).round() as u64 % 100 == 0 && now > 0.0;
+        let second = ((now / TICK).round() as u64).is_multiple_of(100) && now > 0.0;
         let Some(core) = &mut self.core else { return };
         let names: Vec<String> = PRODUCTS.iter().map(|name| name.to_string()).collect();
         for (n, proxy) in self.proxies.iter_mut().enumerate().filter(|_| second) {
--- a/crates/xds/src/stream.rs
+++ b/crates/xds/src/stream.rs
@@ -60,8 +60,8 @@
 /// What a stream has learnt, for whoever decides.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Said {
-    /// It holds something with this label, from before.
-    Holds(Label),
+    /// It holds something of this type from before, as far as this label tells.
+    Holds { kind: Kind, label: Label },
     /// It accepted routes with these shares of the trial.
     Accepted(Shares),
     /// It refused what it was sent; the first time, with its words.
@@ -235,15 +235,21 @@
         let labels = ask.held.iter().map(|(_, label)| label).chain([&ask.version]);
         let read: Vec<Label> = labels.filter_map(|label| self.labels.read(label)).collect();
         let per = self.kinds.entry(kind).or_default();
-        for label in &read {
-            per.guard = Some(per.guard.map_or(label.basis, |held| held.join(&label.basis)));
-        }
+        let joined = |labels: &mut dyn Iterator<Item = &Label>| {
+            labels.map(|label| label.basis).reduce(|all, basis| all.join(&basis))
+        };
+        per.guard = joined(&mut read.iter());
         for (name, label) in &ask.held {
             if let Some(label) = self.labels.read(label) {
                 per.held.insert(name.clone(), Held { hash: label.content, resource: None });
             }
         }
-        self.said.extend(read.into_iter().map(Said::Holds));
+        // One label for all: what is signed tells of the world, the rest of this proxy only.
+        let signed = joined(&mut read.iter().filter(|label| label.signed));
+        for (basis, signed) in [(per.guard, false), (signed, true)] {
+            let label = basis.map(|basis| Label { basis, content: 0, signed });
+            self.said.extend(label.map(|label| Said::Holds { kind, label }));
+        }
     }
 
     /// The last answer was accepted, or refused.
--- a/crates/xds/tests/model.rs
+++ b/crates/xds/tests/model.rs
@@ -166,7 +166,7 @@
         };
         stream.ask(ask).expect("a sound proxy");
         for said in stream.said() {
-            if let Said::Holds(label) = said {
+            if let Said::Holds { label, .. } = said {
                 services[*to].world.evidence(&label, now);
             }
         }
