--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -61,8 +61,9 @@
     streams: BTreeMap<u64, (String, bool)>,
     knocking: BTreeMap<u64, String>,
     condemned: bool,
-    /// When a handout is due, and when it was last made.
+    /// When a handout is due, and when one was last made.
     due: Ms,
+    made: Ms,
     wake: Ms,
     asked: Ms,
     behind: bool,
@@ -110,6 +111,7 @@
             knocking: BTreeMap::new(),
             condemned: false,
             due: 0.0,
+            made: f64::NEG_INFINITY,
             wake: 0.0,
             asked: f64::NEG_INFINITY,
             behind: false,
@@ -117,8 +119,9 @@
         }
     }
 
-    fn hurry(&mut self, by: Ms) {
-        self.due = self.due.min(by);
+    /// The first news of a burst is handed out at once, what follows it together a little later.
+    fn hurry(&mut self, now: Ms) {
+        self.due = self.due.min(now.max(self.made + COALESCE));
     }
 
     /// A list, or changes to it.
@@ -331,7 +334,7 @@
             doings.actions.push(Action::Fetch);
         }
         if now >= self.due {
-            self.due = now + ANEW;
+            (self.due, self.made) = (now + ANEW, now);
             doings.handed = self.hand(now);
         }
         doings
--- a/crates/handout/src/order.rs
+++ b/crates/handout/src/order.rs
@@ -125,6 +125,13 @@
     key: Option<Vec<u8>>,
 }
 
+/// A label's stamp and content.
+pub fn halves(text: &str) -> Option<(&str, u64)> {
+    let (stamp, content) = text.rsplit_once('.')?;
+    let fits = content.len() == 16 && content.bytes().all(|byte| byte.is_ascii_hexdigit());
+    Some((stamp, fits.then(|| u64::from_str_radix(content, 16).ok())??))
+}
+
 /// The label of a content under a stamp.
 pub fn label(stamp: &str, content: u64) -> String {
     format!("{stamp}.{content:016x}")
@@ -185,14 +192,20 @@
 
     /// What a label tells; none where it is no label of this form.
     pub fn read(&self, text: &str) -> Option<Label> {
-        if text.len() > LABEL_MOST || !text.is_ascii() {
+        let (stamp, content) = halves(text)?;
+        let (basis, signed) = self.read_stamp(stamp)?;
+        Some(Label { basis, content, signed })
+    }
+
+    /// What a stamp tells, and whether it is signed with the site's key.
+    pub fn read_stamp(&self, stamp: &str) -> Option<(Basis, bool)> {
+        if stamp.len() > LABEL_MOST || !stamp.is_ascii() {
             return None;
         }
-        let parts: Vec<&str> = text.split('.').collect();
-        let (stamp, content) = text.rsplit_once('.')?;
+        let parts: Vec<&str> = stamp.split('.').collect();
         let (body, signature) = match parts.len() {
-            7 => (stamp, None),
-            8 => stamp.rsplit_once('.').map(|(body, signature)| (body, Some(signature)))?,
+            6 => (stamp, None),
+            7 => stamp.rsplit_once('.').map(|(body, signature)| (body, Some(signature)))?,
             _ => return None,
         };
         // Whatever is not signed by the site's key may still be what a proxy holds: it guards that proxy's stream.
@@ -220,8 +233,7 @@
         };
         let epoch = parts[4].strip_prefix('l')?.parse().ok()?;
         let list = ListMark { epoch, version: parts[5].parse().ok()? };
-        let content = (content.len() == 16).then(|| u64::from_str_radix(content, 16).ok())??;
-        Some(Label { basis: Basis { news, list }, content, signed })
+        Some((Basis { news, list }, signed))
     }
 }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! Experiments on loopback: seeded, sizes as flags. Each prints one JSON object of figures last and ends with 1 where
 //! anything that must hold did not.
 
+mod crowd;
 mod day;
 mod xds;
 
@@ -19,6 +20,8 @@
 enum Word {
     /// Proxies that hold what a control service hands out, while builds roll out and hosts come and go.
     Xds(xds::Sizes),
+    /// A crowd of clients loses a gateway at once, in simulated time.
+    Crowd(crowd::Sizes),
     /// Days in simulated time: routed by handouts, by gateways, and evenly.
     Day(day::Sizes),
 }
@@ -26,6 +29,7 @@
 fn main() -> ExitCode {
     let (figures, held) = match Line::parse().word {
         Word::Xds(sizes) => xds::run(&sizes),
+        Word::Crowd(sizes) => crowd::run(&sizes),
         Word::Day(sizes) => day::run(&sizes),
     };
     println!("{figures}");
--- a/crates/standins/src/cache.rs
+++ b/crates/standins/src/cache.rs
@@ -213,6 +213,9 @@
     fn follow(&mut self, kind: Kind) -> Vec<Wanted> {
         // What nothing refers to any more is dropped, as its owner does.
         for follower in [Kind::Endpoint, Kind::Host] {
+            if !self.held.contains_key(&Kind::Cluster) {
+                break;
+            }
             let names = self.wanted(follower);
             let named = |name: &String| {
                 names.iter().any(|want| {
@@ -289,6 +292,12 @@
         (hosts, held.repeats > 0)
     }
 
+    /// Hosts that came within the endpoints of this name.
+    pub fn inline(&self, endpoints: &str) -> usize {
+        let held = self.held.get(&Kind::Endpoint).and_then(|held| held.get(endpoints));
+        held.map_or(0, |held| held.hosts.len())
+    }
+
     /// The parts of a million of a product's txns that go to this build.
     pub fn part(&self, product: &str, build: u32) -> u32 {
         let prefix = format!("b{build}/");
--- a/crates/xds/src/server.rs
+++ b/crates/xds/src/server.rs
@@ -3,6 +3,7 @@
 
 use crate::codec::Pieces;
 use crate::loads;
+use crate::pb::envoy::config::core::v3::Node;
 use crate::pb::envoy::service::discovery::v3::{DeltaDiscoveryRequest, DiscoveryRequest};
 use crate::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
 use crate::pb::google::protobuf::Duration as Span;
@@ -261,11 +262,18 @@
 type Answers = ReceiverStream<Result<Vec<Bytes>, Status>>;
 type Answering = Pin<Box<dyn Future<Output = Result<Response<Answers>, Status>> + Send>>;
 
+/// A node's id, and what it says of what it can.
+fn told_of(node: Option<Node>) -> (Option<String>, Vec<String>) {
+    node.map_or((None, Vec::new()), |node| (Some(node.id), node.client_features))
+}
+
 impl From<DiscoveryRequest> for Ask {
     fn from(request: DiscoveryRequest) -> Ask {
+        let (node, features) = told_of(request.node);
         Ask {
             url: request.type_url,
-            node: request.node.map(|node| node.id),
+            node,
+            features,
             names: request.resource_names,
             nonce: request.response_nonce,
             version: request.version_info,
@@ -277,9 +285,11 @@
 
 impl From<DeltaDiscoveryRequest> for Ask {
     fn from(request: DeltaDiscoveryRequest) -> Ask {
+        let (node, features) = told_of(request.node);
         Ask {
             url: request.type_url,
-            node: request.node.map(|node| node.id),
+            node,
+            features,
             names: request.resource_names_subscribe,
             without: request.resource_names_unsubscribe,
             nonce: request.response_nonce,
--- a/crates/xds/src/stream.rs
+++ b/crates/xds/src/stream.rs
@@ -10,11 +10,14 @@
 use crate::resources::{Kind, Resource, Set, Snapshot, field};
 use bytes::{BufMut, Bytes, BytesMut};
 use latchhaven_handout::ledger::Shares;
-use latchhaven_handout::order::{Basis, Label, Labels};
+use latchhaven_handout::order::{Basis, Label, Labels, halves};
 use prost::encoding::{WireType, encode_key, encode_varint};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+/// The client feature by which a proxy says that it does not know LEDS: its incremental streams get hosts within
+/// their cluster's endpoints.
+pub const WHOLE_ENDPOINTS: &str = "latchhaven.whole_endpoints";
 /// Names of one type that a stream may ask for: a handout has some tens.
 const NAMES_MOST: usize = 1_024;
 /// Bytes of one name, and of a node's id.
@@ -33,8 +36,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ask {
     pub url: String,
-    /// The proxy's id, where it is given.
+    /// The proxy's id, where it is given, and what it says of what it can.
     pub node: Option<String>,
+    pub features: Vec<String>,
     /// All names of the type; incremental: those added.
     pub names: Vec<String>,
     /// Incremental: those let go.
@@ -108,6 +112,8 @@
     pending: Option<Pending>,
     /// The nonce of the last answer.
     nonce: String,
+    /// The content that was looked at with nothing to say, until something is asked.
+    settled: Option<u64>,
     /// An answer is owed though nothing changed: names were asked for.
     owed: bool,
     owed_names: BTreeSet<String>,
@@ -119,6 +125,8 @@
 /// One stream.
 pub struct Stream {
     incremental: bool,
+    /// Hosts come as resources of their own, where operators allow it.
+    apart: bool,
     only: Option<Kind>,
     labels: Labels,
     node: Option<String>,
@@ -144,7 +152,18 @@
     /// A stream that nothing was heard on yet; `only`: it carries this one type.
     pub fn new(incremental: bool, only: Option<Kind>, labels: Labels) -> Self {
         let (node, kinds, said) = (None, BTreeMap::new(), Vec::new());
-        Stream { incremental, only, labels, node, kinds, given: 0, faults: 0, hastened: false, said }
+        Stream {
+            incremental,
+            apart: incremental,
+            only,
+            labels,
+            node,
+            kinds,
+            given: 0,
+            faults: 0,
+            hastened: false,
+            said,
+        }
     }
 
     /// The proxy's id, once it told it.
@@ -175,6 +194,7 @@
                 return Err(Fault::TooMuch(format!("node.id: longer than {NODE_MOST} bytes")));
             }
             self.node = Some(node);
+            self.apart &= !ask.features.iter().any(|feature| feature == WHOLE_ENDPOINTS);
         }
         let kind = match (Kind::of(&ask.url), self.only) {
             (Some(kind), None) if kind != Kind::Host || self.incremental => kind,
@@ -215,6 +235,10 @@
         if known {
             self.concluded(kind, ask.error);
         }
+        // Endpoints stay or go by what clusters are held.
+        for kind in [kind, Kind::Endpoint] {
+            self.kinds.entry(kind).or_default().settled = None;
+        }
         let per = self.kinds.entry(kind).or_default();
         per.asked = true;
         if self.incremental {
@@ -232,21 +256,26 @@
 
     /// What a proxy holds from before guards its stream: nothing older is sent to it.
     fn hear_held(&mut self, kind: Kind, ask: &Ask) {
-        let labels = ask.held.iter().map(|(_, label)| label).chain([&ask.version]);
-        let read: Vec<Label> = labels.filter_map(|label| self.labels.read(label)).collect();
-        let per = self.kinds.entry(kind).or_default();
-        let joined = |labels: &mut dyn Iterator<Item = &Label>| {
-            labels.map(|label| label.basis).reduce(|all, basis| all.join(&basis))
-        };
-        per.guard = joined(&mut read.iter());
-        for (name, label) in &ask.held {
-            if let Some(label) = self.labels.read(label) {
-                per.held.insert(name.clone(), Held { hash: label.content, resource: None });
-            }
+        // Hundreds of labels have a few stamps: each of these is read once.
+        let mut stamps: BTreeMap<&str, Option<(Basis, bool)>> = BTreeMap::new();
+        let mut held = Vec::new();
+        for (name, label) in
+            ask.held.iter().map(|(name, label)| (Some(name), label)).chain([(None, &ask.version)])
+        {
+            let Some((stamp, content)) = halves(label) else { continue };
+            let told = *stamps.entry(stamp).or_insert_with(|| self.labels.read_stamp(stamp));
+            held.extend(told.and(name).map(|name| (name.clone(), Held { hash: content, resource: None })));
         }
+        let joined = |signed: bool| {
+            let told = stamps.values().flatten().filter(|(_, by_site)| *by_site || !signed);
+            told.map(|(basis, _)| *basis).reduce(|all, basis| all.join(&basis))
+        };
+        let (all, signed) = (joined(false), joined(true));
+        let per = self.kinds.entry(kind).or_default();
+        per.guard = all;
+        per.held.extend(held);
         // One label for all: what is signed tells of the world, the rest of this proxy only.
-        let signed = joined(&mut read.iter().filter(|label| label.signed));
-        for (basis, signed) in [(per.guard, false), (signed, true)] {
+        for (basis, signed) in [(all, false), (signed, true)] {
             let label = basis.map(|basis| Label { basis, content: 0, signed });
             self.said.extend(label.map(|label| Said::Holds { kind, label }));
         }
@@ -340,7 +369,7 @@
     pub fn unsettled(&self, snapshot: &Snapshot) -> Option<Kind> {
         let asked = self.kinds.iter().filter(|(_, per)| per.asked);
         let behind = |(kind, per): &(&Kind, &Per)| {
-            let (_, set) = snapshot.set(**kind, self.incremental);
+            let (_, set) = snapshot.set(**kind, self.apart);
             let held =
                 |new: &Arc<Resource>| per.held.get(&new.name).is_some_and(|held| held.hash == new.hash);
             per.pending.is_some() || !wanted(per, set).all(held)
@@ -363,7 +392,11 @@
         if waits && !named && !self.hastened {
             return None;
         }
-        let (sum, set) = snapshot.set(kind, self.incremental);
+        let (sum, set) = snapshot.set(kind, self.apart);
+        // Most looks are at what was looked at before; clusters go by the routes that are held as well.
+        if per.settled == Some(sum) && kind != Kind::Cluster {
+            return None;
+        }
         let kept = if kind == Kind::Cluster { self.referred(snapshot) } else { None };
         let keeps = |name: &String| match (kind, &kept) {
             (Kind::Cluster, None) => true,
@@ -394,6 +427,7 @@
             {
                 self.said.push(Said::Accepted(snapshot.trial.clone()));
             }
+            per.settled = Some(sum);
             return None;
         };
         self.given += 1;
@@ -463,9 +497,9 @@
         if self.only.is_some() || !self.kinds.get(&Kind::Cluster).is_some_and(|per| per.asked) {
             return true;
         }
-        let (_, routes) = snapshot.set(Kind::Route, self.incremental);
-        let (_, clusters) = snapshot.set(Kind::Cluster, self.incremental);
-        let (_, endpoints) = snapshot.set(Kind::Endpoint, self.incremental);
+        let (_, routes) = snapshot.set(Kind::Route, self.apart);
+        let (_, clusters) = snapshot.set(Kind::Cluster, self.apart);
+        let (_, endpoints) = snapshot.set(Kind::Endpoint, self.apart);
         let holds =
             |kind: Kind, name: &String| self.kinds.get(&kind).is_some_and(|per| per.held.contains_key(name));
         let hosted = |prefix: &String| {
@@ -488,7 +522,7 @@
     fn referred(&self, snapshot: &Snapshot) -> Option<BTreeSet<String>> {
         let per = self.kinds.get(&Kind::Route).filter(|per| per.asked)?;
         let mut names = BTreeSet::new();
-        let (_, routes) = snapshot.set(Kind::Route, self.incremental);
+        let (_, routes) = snapshot.set(Kind::Route, self.apart);
         for (name, held) in &per.held {
             let same = routes.get(name).filter(|new| new.hash == held.hash);
             names.extend(held.resource.as_ref().or(same)?.refers.iter().cloned());
