--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -287,10 +287,17 @@
             State::Idle(since) => (since + self.bounds.idle).min(link.ends),
             _ => f64::INFINITY,
         });
-        let wait = if self.waiting.is_empty() { f64::INFINITY } else { self.moves };
-        let gateways = self.gateways.iter().map(|gateway| gateway.until);
-        let gateways = gateways.filter(|_| !self.waiting.is_empty()).fold(f64::INFINITY, f64::min);
-        links.fold(wait.max(gateways), f64::min)
+        let dialling = self.links.values().filter(|link| link.state == State::Dialling).count();
+        let room = self.links.len() < self.bounds.connections && dialling < self.bounds.dials;
+        // Where no room is left, or a gateway's one connection has yet to answer, only an event changes that.
+        let open: BTreeSet<usize> = self.links.values().map(|link| link.gateway).collect();
+        let may = |(n, gateway): &(usize, &Gateway)| {
+            gateway.answered.is_some() || gateway.failures == 0 || !open.contains(n)
+        };
+        let dial =
+            self.gateways.iter().enumerate().filter(may).map(|(_, gateway)| gateway.until.max(self.moves));
+        let dial = dial.filter(|_| room && self.waiting.len() > dialling).fold(f64::INFINITY, f64::min);
+        links.fold(dial, f64::min)
     }
 
     /// Connections that are open or being opened.
