A build that comes after one found bad at the service is not taken for found bad too

The service kept a copy of whether the newest build was found bad, made at the last handout. The first news of the next build were marked by it: that build got no share until its release, whatever it was. The world remembers which build it was, so the copy is gone. A test provokes it: 0 of the txns before, more than a tenth after.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -60,7 +60,6 @@
     /// Streams that began: the proxy, and whether it reports loads.
     streams: BTreeMap<u64, (String, bool)>,
     knocking: BTreeMap<u64, String>,
-    condemned: bool,
     /// When a handout is due, and when one was last made.
     due: Ms,
     made: Ms,
@@ -109,7 +108,6 @@
             numbers: 0,
             streams: BTreeMap::new(),
             knocking: BTreeMap::new(),
-            condemned: false,
             due: 0.0,
             made: f64::NEG_INFINITY,
             wake: 0.0,
@@ -177,9 +175,10 @@
             self.events.push(Event::Stage(news));
             return;
         }
-        let marked =
+        // The world alone remembers which build was found bad: of the next one nothing is known yet.
+        let condemned =
             self.world.news().is_some_and(|known| known.build == news.build && known.way == Way::Condemned);
-        let taken = self.world.platform(&news, marked || self.condemned, now);
+        let taken = self.world.platform(&news, condemned, now);
         self.events.extend(taken.map(Event::Stage));
         self.hurry(now);
     }
@@ -347,7 +346,6 @@
             proxies.retain(|_, proxy| proxy.open > 0);
         }
         let mut outlook = self.choice.outlook(now);
-        self.condemned = outlook.condemned;
         if outlook.condemned {
             self.world.condemn();
         }
--- a/crates/control/tests/cases.rs
+++ b/crates/control/tests/cases.rs
@@ -513,6 +513,43 @@
     assert!(service.core.report(stream, &of(9), service.now).unwrap_err().contains("no host of its cluster"));
 }
 
+#[test]
+fn a_build_after_one_that_was_found_bad_here_gets_its_share() {
+    let (mut service, mut proxies) = settled(3);
+    let report =
+        |service: &mut Service, proxy: &Proxy, build: Build, host: u16, settled: u64, failed: u64| {
+            let figures = Figures { issued: settled + failed, settled, failed, ..Figures::default() };
+            let cluster = |build, host, figures| ClusterReport {
+                build,
+                product: 0,
+                hosts: vec![(addr(host), figures)],
+                dropped: 0,
+            };
+            let fine = Figures { issued: 500, settled: 500, ..Figures::default() };
+            let clusters = vec![cluster(1, 1, fine), cluster(build, host, figures)];
+            let stream = proxy.stream.as_ref().unwrap().0;
+            service.core.report(stream, &Report { interval: 1000.0, clusters }, service.now).unwrap();
+        };
+    for _ in 0..20 {
+        proxies.iter().for_each(|proxy| report(&mut service, proxy, 2, 3, 150, 150));
+        service.pass(1_000.0);
+        talk_all(&mut proxies, &mut service);
+    }
+    assert_eq!(service.votes.last(), Some(&(2, Verdict::Back)));
+    service.news(2, 1, Phase::GoingBack, 0.0);
+    service.pass(1_000.0);
+    service.news(2, 1, Phase::Withdrawn, 0.0);
+    service.list(6, &[(1, 1, true), (2, 1, true), (3, 1, true), (4, 3, true)]);
+    service.pass(1_000.0);
+    service.news(3, 1, Phase::OnTrial, 0.5);
+    for _ in 0..4 {
+        proxies.iter().for_each(|proxy| report(&mut service, proxy, 3, 4, 100, 0));
+        service.pass(1_000.0);
+        talk_all(&mut proxies, &mut service);
+    }
+    assert!(proxies.iter().all(|proxy| proxy.part(3) > 0.1), "{}", proxies[0].part(3));
+}
+
 #[test]
 fn reports_of_proxies_condemn_a_bad_build_and_pass_a_good_one() {
     for (fails, wanted) in [(0.0, Verdict::On), (0.5, Verdict::Back)] {
