One way to make a state, a letter, a sum, and to tell whose host an address is

Written twice in the change: states of the newest build field by field, the letters of ways in both directions, clipping a sum, which hosts are tried though aside, and a copy of the known hosts for load reports. Settings of a plan were read three times at the start. Behaviour as before; the two tables of a refused stream's turn are one.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -51,8 +51,6 @@
     admission: Admission,
     addresses: BTreeMap<String, SocketAddr>,
     known: BTreeMap<SocketAddr, Known>,
-    /// What reports are checked against.
-    hosts: BTreeMap<SocketAddr, (String, BTreeSet<u32>)>,
     events: Vec<Event>,
     snapshot: Option<Arc<Snapshot>>,
     proxies: BTreeMap<String, Proxy>,
@@ -89,7 +87,7 @@
         let names = terms.products.iter().map(|product| product.name.clone()).collect();
         let (basis, withdrawn) =
             kept.map_or((None, BTreeSet::new()), |kept| (Some(kept.basis), kept.withdrawn));
-        let (addresses, known, hosts, events) = Default::default();
+        let (addresses, known, events) = Default::default();
         Core {
             choice,
             world: World::since(basis, withdrawn),
@@ -101,7 +99,6 @@
             admission: Admission::new(streams_most),
             addresses,
             known,
-            hosts,
             events,
             snapshot: None,
             proxies: BTreeMap::new(),
@@ -153,13 +150,9 @@
             known.seen = if here.contains(addr) { now } else { known.seen };
             now - known.seen < HOST_KEPT
         });
-        let hosts =
-            self.known.iter().map(|(addr, known)| (*addr, (known.instance.clone(), known.builds.clone())));
-        self.hosts = hosts.collect();
         let kind = if whole { ListKind::Whole } else { ListKind::Changes };
         let entries = entries.into_iter().map(|(listing, _)| listing).collect();
         self.events.push(Event::Fleet { kind, version, entries });
-        // A drain waits for nothing: new work is to stop within its grace at every proxy.
         self.hurry(now);
     }
 
@@ -293,8 +286,12 @@
     /// # Errors
     /// What cannot be in it.
     pub fn report(&mut self, stream: u64, report: &Report, now: Ms) -> Result<(), String> {
-        let Some(number) = self.number(stream).filter(|_| !self.hosts.is_empty()) else { return Ok(()) };
-        let rates = self.gathered.report(number, report, &self.hosts, now)?;
+        let Some(number) = self.number(stream).filter(|_| !self.known.is_empty()) else { return Ok(()) };
+        let whose = |addr: &SocketAddr, build| {
+            let known = self.known.get(addr).filter(|known| known.builds.contains(&build));
+            known.map(|known| known.instance.as_str())
+        };
+        let rates = self.gathered.report(number, report, whose, now)?;
         self.ledger.carries(number, rates);
         Ok(())
     }
@@ -309,7 +306,7 @@
     /// Decides on all that was taken in.
     pub fn turn(&mut self, now: Ms) -> Doings {
         let mut doings = Doings { begin: self.admission.turn(now), ..Doings::default() };
-        doings.begin.clone().into_iter().for_each(|stream| self.begin(stream));
+        doings.begin.iter().for_each(|stream| self.begin(*stream));
         if now < self.due && now < self.wake {
             return doings;
         }
@@ -379,9 +376,4 @@
         self.snapshot = Some(snapshot.clone());
         Some((snapshot, Kept { basis, withdrawn: withdrawn.clone() }))
     }
-
-    /// Proxies that are known of, and streams that are open.
-    pub fn count(&self) -> (usize, usize) {
-        (self.ledger.len(), self.streams.len())
-    }
 }
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -56,16 +56,13 @@
     let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let mut asked = signal(SignalKind::user_defined1())?;
     let clock = Clock::start();
-    let key = match &plan.shared_key_file {
-        None => None,
-        Some(path) => Some(
-            std::fs::read(path)
-                .map_err(|fault| io::Error::other(format!("shared_key_file: {}: {fault}", path.display())))?,
-        ),
-    };
-    let settings = || settings(&plan).map_err(io::Error::other);
-    let (given, connections) = (settings()?.asking(), settings()?.connections());
-    let (exposure, cold, submissions) = settings()?.bounds();
+    let key = plan.shared_key_file.as_ref().map(|path| {
+        let unread = |fault| io::Error::other(format!("shared_key_file: {}: {fault}", path.display()));
+        std::fs::read(path).map_err(unread)
+    });
+    let key = key.transpose()?;
+    let given = settings(&plan).map_err(io::Error::other)?.asking();
+    let (connections, (exposure, cold, submissions)) = (given.connections(), given.bounds());
     let terms = handout::Terms {
         products: given.products(),
         exposure,
@@ -234,19 +231,19 @@
 
     fn told(&mut self, told: Told, now: f64) {
         match told {
-            Told::Knocks { stream, node, loads: true, turn } => {
+            Told::Knocks { stream, node, loads, turn } => {
+                let room = match loads {
+                    true => self.core.reports(stream, &node),
+                    false => self.core.knock(stream, node, now),
+                };
                 let full = || Status::resource_exhausted("too many streams: come again later");
-                let begins = self.core.reports(stream, &node);
-                if turn.send(if begins { Ok(()) } else { Err(full()) }).is_err() {
-                    self.core.over(stream, now);
+                match (room, loads) {
+                    (false, _) => drop(turn.send(Err(full()))),
+                    (true, false) => drop(self.turns.insert(stream, turn)),
+                    (true, true) if turn.send(Ok(())).is_err() => self.core.over(stream, now),
+                    (true, true) => {}
                 }
             }
-            Told::Knocks { stream, node, loads: false, turn } => match self.core.knock(stream, node, now) {
-                true => drop(self.turns.insert(stream, turn)),
-                false => {
-                    drop(turn.send(Err(Status::resource_exhausted("too many streams: come again later"))))
-                }
-            },
             Told::Said { stream, said } => self.core.said(stream, said, now),
             Told::Sends { stream, trial } => self.core.sends(stream, &trial, now),
             Told::Report { stream, report, sound } => {
@@ -287,17 +284,7 @@
             Action::Vote { build, stage, verdict } => {
                 let vote = Vote { build, stage, verdict, cast: Instant::now() };
                 if self.votes.try_send(vote).is_err() {
-                    let news = StageNews {
-                        valid: false,
-                        unsure: false,
-                        answer: true,
-                        build,
-                        stage,
-                        phase: latchhaven::api::Phase::OnTrial,
-                        cap: 0.0,
-                        age: 0.0,
-                    };
-                    self.core.stage(news, self.clock.now());
+                    self.core.stage(StageNews::not_counted(build, stage, false), self.clock.now());
                 }
             }
             Action::Log(line) => tracing::info!("{line}"),
--- a/crates/gateway/src/net/platform.rs
+++ b/crates/gateway/src/net/platform.rs
@@ -78,21 +78,14 @@
     if !(0.0..=AGE_MOST).contains(&state.observed_ago_ms) {
         return Err("observedAgoMs: no sensible age".to_string());
     }
-    Ok(StageNews {
-        valid: true,
-        unsure: false,
-        answer,
-        build: state.version,
-        stage: state.step,
-        phase: match state.status {
-            Status::InProgress => Phase::OnTrial,
-            Status::RollingBack => Phase::GoingBack,
-            Status::Complete => Phase::Released,
-            Status::RolledBack => Phase::Withdrawn,
-        },
-        cap: state.max_weight,
-        age: state.observed_ago_ms,
-    })
+    let phase = match state.status {
+        Status::InProgress => Phase::OnTrial,
+        Status::RollingBack => Phase::GoingBack,
+        Status::Complete => Phase::Released,
+        Status::RolledBack => Phase::Withdrawn,
+    };
+    let told = StageNews::told(state.version, state.step, phase, state.max_weight, state.observed_ago_ms);
+    Ok(StageNews { answer, ..told })
 }
 
 /// Reads a line of the feed.
@@ -287,16 +280,7 @@
             Err(_) if written => Outcome::Unsure("no answer in time".to_string()),
             Err(_) => Outcome::NotCounted("no connection in time".to_string()),
         };
-        let failed = |unsure| StageNews {
-            valid: false,
-            unsure,
-            answer: true,
-            build: vote.build,
-            stage: vote.stage,
-            phase: Phase::OnTrial,
-            cap: 0.0,
-            age: 0.0,
-        };
+        let failed = |unsure| StageNews::not_counted(vote.build, vote.stage, unsure);
         let news = match outcome {
             Outcome::Counted(news) => {
                 COUNTERS.votes_counted.add();
--- a/crates/handout/src/evidence.rs
+++ b/crates/handout/src/evidence.rs
@@ -63,17 +63,24 @@
 }
 
 impl Sum {
-    fn add(&mut self, figures: &Figures, most: f64) {
-        let count = (figures.settled + figures.failed) as f64;
-        let share = if count > most { most / count } else { 1.0 };
-        self.count += share * count;
-        self.failed += share * figures.failed as f64;
-        self.took += share * figures.took;
-        self.timed += share * figures.timed as f64;
+    fn of(figures: &Figures) -> Sum {
+        let (count, failed) = ((figures.settled + figures.failed) as f64, figures.failed as f64);
+        Sum { count, failed, took: figures.took, timed: figures.timed as f64 }
     }
 
-    fn took(&self) -> Option<Ms> {
-        (self.timed > 0.0).then(|| self.took / self.timed)
+    /// Adds another sum, weighed down to so many submissions.
+    fn add(&mut self, other: &Sum, most: f64) {
+        let share = if other.count > most { most / other.count } else { 1.0 };
+        self.count += share * other.count;
+        self.failed += share * other.failed;
+        self.took += share * other.took;
+        self.timed += share * other.timed;
+    }
+
+    /// Submissions, those that failed, and the mean time of the others.
+    fn told(&self) -> (u64, u64, Option<Ms>) {
+        let (count, failed) = (self.count.round() as u64, self.failed.round() as u64);
+        (count, failed.min(count), (self.timed > 0.0).then(|| self.took / self.timed))
     }
 }
 
@@ -105,12 +112,13 @@
         Gathered { products, tallies, hosts, reporters, heard: None, taken: 0.0, platform_only }
     }
 
-    /// Takes a report over, whole or not at all.
+    /// Takes a report over, whole or not at all; `whose` tells the instance at an address that has, or lately had, a
+    /// build.
     ///
     /// # Errors
     /// What cannot be in it: figures that contradict, times that are none, hosts that are not in their cluster.
-    pub fn report(
-        &mut self, proxy: u64, report: &Report, known: &BTreeMap<SocketAddr, (String, BTreeSet<Build>)>,
+    pub fn report<'a>(
+        &mut self, proxy: u64, report: &Report, whose: impl Fn(&SocketAddr, Build) -> Option<&'a str>,
         now: Ms,
     ) -> Result<Vec<f64>, String> {
         if !INTERVAL.contains(&report.interval) {
@@ -136,8 +144,7 @@
                 if !(0.0..=TOOK_MOST).contains(&mean) || (timed == 0 && took != 0.0) {
                     return Err(format!("{host}: times that cannot be"));
                 }
-                let here = known.get(host).is_some_and(|(_, builds)| builds.contains(&cluster.build));
-                if !here {
+                if whose(host, cluster.build).is_none() {
                     return Err(format!("{host}: no host of its cluster"));
                 }
                 (begun, ended) = (begun + issued, ended + settled + failed);
@@ -155,13 +162,13 @@
             let at = (cluster.build, cluster.product);
             let sum = self.tallies.entry(at).or_default().entry(proxy).or_default();
             for (host, figures) in &cluster.hosts {
-                sum.add(figures, f64::INFINITY);
-                if let Some((instance, _)) = known.get(host) {
-                    let sum = self.hosts.entry((instance.clone(), cluster.product)).or_default();
-                    sum.add(figures, HOST_CLIP);
+                let ended = Sum::of(figures);
+                sum.add(&ended, f64::INFINITY);
+                if let Some(instance) = whose(host, cluster.build) {
+                    let sum = self.hosts.entry((instance.to_string(), cluster.product)).or_default();
+                    sum.add(&ended, HOST_CLIP);
                 }
-                rate[cluster.product] +=
-                    (figures.settled + figures.failed).max(figures.issued) as f64 / report.interval;
+                rate[cluster.product] += ended.count.max(figures.issued as f64) / report.interval;
                 *out.entry(at).or_default() += figures.out;
             }
             rate[cluster.product] += cluster.dropped as f64 / report.interval;
@@ -195,9 +202,8 @@
         self.taken = now;
         let mut events = Vec::new();
         for ((instance, product), sum) in std::mem::take(&mut self.hosts) {
-            let (count, failed) = (sum.count.round() as u64, sum.failed.round() as u64);
-            let (product, failed) = (self.products[product].clone(), failed.min(count));
-            events.push(Event::Seen { instance, product, count, failed, took: sum.took() });
+            let (product, (count, failed, took)) = (self.products[product].clone(), sum.told());
+            events.push(Event::Seen { instance, product, count, failed, took });
         }
         for ((build, product), sums) in std::mem::take(&mut self.tallies) {
             if self.platform_only {
@@ -206,16 +212,9 @@
             let mean = sums.values().map(|sum| sum.count).sum::<f64>() / sums.len().max(1) as f64;
             let most = if sums.len() >= CLIP_FROM { CLIP * mean } else { f64::INFINITY };
             let mut all = Sum::default();
-            for sum in sums.values() {
-                let share = if sum.count > most { most / sum.count } else { 1.0 };
-                all.count += share * sum.count;
-                all.failed += share * sum.failed;
-                all.took += share * sum.took;
-                all.timed += share * sum.timed;
-            }
-            let (count, failed) = (all.count.round() as u64, all.failed.round() as u64);
-            let (product, failed) = (self.products[product].clone(), failed.min(count));
-            events.push(Event::Tally { build, product, count, failed, took: all.took(), age });
+            sums.values().for_each(|sum| all.add(sum, most));
+            let (product, (count, failed, took)) = (self.products[product].clone(), all.told());
+            events.push(Event::Tally { build, product, count, failed, took, age });
         }
         events
     }
@@ -226,9 +225,10 @@
     use super::*;
     use proptest::prelude::*;
 
-    fn known() -> BTreeMap<SocketAddr, (String, BTreeSet<Build>)> {
-        let host = |n: u16| (SocketAddr::from(([127, 0, 0, 1], n)), (format!("s{n}"), BTreeSet::from([1])));
-        (1..4).map(host).collect()
+    /// Hosts 1 to 3 have build 1.
+    fn known(host: &SocketAddr, build: Build) -> Option<&'static str> {
+        let names = ["s1", "s2", "s3"];
+        names.get(usize::from(host.port().wrapping_sub(1))).copied().filter(|_| build == 1)
     }
 
     fn report(build: Build, host: u16, figures: Figures) -> Report {
@@ -242,8 +242,8 @@
 
     #[test]
     fn what_cannot_be_is_refused_whole() {
-        let (known, mut all) = (known(), Gathered::new(vec!["look".to_string()], false));
-        let mut refused = |report: Report| all.report(1, &report, &known, 0.0).is_err();
+        let mut all = Gathered::new(vec!["look".to_string()], false);
+        let mut refused = |report: Report| all.report(1, &report, known, 0.0).is_err();
         assert!(!refused(report(1, 1, Figures { out: 2, ..ok(5, 1) })));
         for bad in [
             report(1, 9, ok(1, 0)),
@@ -269,11 +269,11 @@
 
     #[test]
     fn one_proxy_condemns_neither_a_build_nor_a_host() {
-        let (known, mut all) = (known(), Gathered::new(vec!["look".to_string()], false));
+        let mut all = Gathered::new(vec!["look".to_string()], false);
         for proxy in 0..9 {
-            all.report(proxy, &report(1, 1, ok(100, 0)), &known, 0.0).unwrap();
+            all.report(proxy, &report(1, 1, ok(100, 0)), known, 0.0).unwrap();
         }
-        all.report(9, &report(1, 1, ok(0, 1_000_000)), &known, 0.0).unwrap();
+        all.report(9, &report(1, 1, ok(0, 1_000_000)), known, 0.0).unwrap();
         let mut failing = Vec::new();
         for event in all.take(2000.0) {
             match event {
@@ -289,12 +289,12 @@
 
     #[test]
     fn submissions_are_never_counted_by_both() {
-        let (known, mut all) = (known(), Gathered::new(vec!["look".to_string()], false));
+        let mut all = Gathered::new(vec!["look".to_string()], false);
         assert!(all.platform_counts(0.0));
-        all.report(1, &report(1, 1, ok(5, 0)), &known, 0.0).unwrap();
+        all.report(1, &report(1, 1, ok(5, 0)), known, 0.0).unwrap();
         assert!(!all.platform_counts(4_000.0) && all.platform_counts(6_000.0));
         let mut all = Gathered::new(vec!["look".to_string()], true);
-        all.report(1, &report(1, 1, ok(5, 0)), &known, 0.0).unwrap();
+        all.report(1, &report(1, 1, ok(5, 0)), known, 0.0).unwrap();
         assert!(all.platform_counts(1.0));
         assert!(all.take(2000.0).iter().all(|event| matches!(event, Event::Seen { .. })));
     }
@@ -311,12 +311,12 @@
             reports in prop::collection::vec(
                 (0u64..5, 0u16..5, any::<u64>(), any::<u64>(), any::<u64>(), any::<f64>(), any::<u64>()), 0..40)
         ) {
-            let (known, mut all) = (known(), Gathered::new(vec!["look".to_string()], false));
+            let mut all = Gathered::new(vec!["look".to_string()], false);
             for (proxy, host, issued, settled, failed, took, timed) in reports {
                 let cut = |count: u64| count >> (count % 64);
                 let (issued, settled, failed) = (cut(issued), cut(settled), cut(failed));
                 let figures = Figures { issued, settled, failed, out: 0, took, timed: cut(timed) };
-                let _ = all.report(proxy, &report(1, host, figures), &known, 0.0);
+                let _ = all.report(proxy, &report(1, host, figures), known, 0.0);
             }
             for event in all.take(1500.0) {
                 if let Event::Tally { count, failed, took, .. } | Event::Seen { count, failed, took, .. } = event {
--- a/crates/handout/src/handout.rs
+++ b/crates/handout/src/handout.rs
@@ -3,7 +3,7 @@
 
 use crate::ledger::{Ledger, Shares};
 use crate::shares::{MILLION, cold_share, parts, safe_share};
-use latchhaven::api::{Build, ColdStart, Effect, ExposureTerms, Group, Ms, Outlook, Product};
+use latchhaven::api::{Build, ColdStart, Effect, ExposureTerms, Group, Ms, Outlook, Outlooked, Product};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -105,16 +105,21 @@
     pub repeat: Repeat,
 }
 
+/// Builds whose ready hosts are all left aside: that is no choice left, they are tried rather than none.
+fn all_aside(outlook: &Outlook) -> BTreeSet<Build> {
+    let builds = |aside: bool| {
+        let hosts = outlook.instances.iter().filter(move |host| host.ready && host.aside == aside);
+        hosts.map(|host| host.build).collect::<BTreeSet<Build>>()
+    };
+    &builds(true) - &builds(false)
+}
+
 /// Capacity of the hosts of each build that get txns.
-fn capacities(outlook: &Outlook) -> BTreeMap<Build, f64> {
+fn capacities(outlook: &Outlook, tried: &BTreeSet<Build>) -> BTreeMap<Build, f64> {
     let mut capacities: BTreeMap<Build, f64> = BTreeMap::new();
-    for host in outlook.instances.iter().filter(|host| host.ready) {
-        let all_aside = || {
-            outlook.instances.iter().filter(|other| other.ready && other.build == host.build).all(|o| o.aside)
-        };
-        if !host.aside || all_aside() {
-            *capacities.entry(host.build).or_default() += host.capacity;
-        }
+    let serving = |host: &&Outlooked| host.ready && (!host.aside || tried.contains(&host.build));
+    for host in outlook.instances.iter().filter(serving) {
+        *capacities.entry(host.build).or_default() += host.capacity;
     }
     capacities
 }
@@ -124,8 +129,8 @@
     outlook: &Outlook, terms: &Terms, withdrawn: &BTreeSet<Build>, addresses: &BTreeMap<String, SocketAddr>,
     ledger: &Ledger, now: Ms,
 ) -> Handout {
-    let capacities = capacities(outlook);
-    let hosts = hosts(outlook, addresses);
+    let tried = all_aside(outlook);
+    let (capacities, hosts) = (capacities(outlook, &tried), hosts(outlook, &tried, addresses));
     let trial_builds: BTreeSet<Build> = outlook.trials.iter().map(|trial| trial.build).collect();
     let earlier: Vec<(Build, f64)> = capacities
         .iter()
@@ -163,27 +168,22 @@
     Handout { clusters, hosts, dropped, routes, trial }
 }
 
-fn hosts(outlook: &Outlook, addresses: &BTreeMap<String, SocketAddr>) -> BTreeMap<Build, Vec<Host>> {
+fn hosts(
+    outlook: &Outlook, tried: &BTreeSet<Build>, addresses: &BTreeMap<String, SocketAddr>,
+) -> BTreeMap<Build, Vec<Host>> {
     let mut hosts: BTreeMap<Build, Vec<Host>> = BTreeMap::new();
     for host in &outlook.instances {
         let Some(addr) = addresses.get(&host.instance) else { continue };
         let health = match (host.ready, host.aside) {
             (false, _) => Health::Draining,
-            (true, true) => Health::Unhealthy,
-            (true, false) => Health::Healthy,
+            (true, true) if !tried.contains(&host.build) => Health::Unhealthy,
+            (true, _) => Health::Healthy,
         };
         let weight = ((host.capacity * WEIGHT_STEPS).floor().clamp(1.0, 1e6)) as u32;
         let (instance, zone) = (host.instance.clone(), host.zone.clone());
         hosts.entry(host.build).or_default().push(Host { instance, addr: *addr, zone, weight, health });
     }
-    for hosts in hosts.values_mut() {
-        hosts.sort_by(|a, b| a.instance.cmp(&b.instance));
-        // All aside is no choice left: they are tried rather than none.
-        if !hosts.iter().any(|host| host.health == Health::Healthy) {
-            let aside = hosts.iter_mut().filter(|host| host.health == Health::Unhealthy);
-            aside.for_each(|host| host.health = Health::Healthy);
-        }
-    }
+    hosts.values_mut().for_each(|hosts| hosts.sort_by(|a, b| a.instance.cmp(&b.instance)));
     hosts
 }
 
@@ -261,7 +261,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use latchhaven::api::{Outlooked, Trial};
+    use latchhaven::api::Trial;
     use proptest::prelude::*;
 
     fn product(effect: Effect, group: Group, remember: Ms) -> Product {
--- a/crates/handout/src/order.rs
+++ b/crates/handout/src/order.rs
@@ -30,6 +30,15 @@
     Withdrawn,
 }
 
+/// The letters of ways in labels.
+const WAYS: [(Way, char); 5] = [
+    (Way::OnTrial, 't'),
+    (Way::Condemned, 'c'),
+    (Way::Released, 'r'),
+    (Way::GoingBack, 'b'),
+    (Way::Withdrawn, 'w'),
+];
+
 /// A state of the newest build.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewsMark {
@@ -58,21 +67,14 @@
 
     /// The state that a mark stands for, told at this moment.
     pub fn news(&self, now: Ms) -> StageNews {
-        StageNews {
-            valid: true,
-            unsure: false,
-            answer: false,
-            build: self.build,
-            stage: self.stage,
-            phase: match self.way {
-                Way::OnTrial | Way::Condemned => Phase::OnTrial,
-                Way::Released => Phase::Released,
-                Way::GoingBack => Phase::GoingBack,
-                Way::Withdrawn => Phase::Withdrawn,
-            },
-            cap: f64::from(self.cap) / MILLION,
-            age: (now - self.since as Ms).max(0.0),
-        }
+        let phase = match self.way {
+            Way::OnTrial | Way::Condemned => Phase::OnTrial,
+            Way::Released => Phase::Released,
+            Way::GoingBack => Phase::GoingBack,
+            Way::Withdrawn => Phase::Withdrawn,
+        };
+        let age = (now - self.since as Ms).max(0.0);
+        StageNews::told(self.build, self.stage, phase, f64::from(self.cap) / MILLION, age)
     }
 
     /// By build, way and stage. Within a stage by beginning; where those cannot be told apart the lower cap is
@@ -170,13 +172,7 @@
     /// The stamp of a basis: a label is a stamp and a content. Signing it once serves all that is handed out on it.
     pub fn stamp(&self, basis: &Basis) -> String {
         let NewsMark { build, way, stage, cap, since } = basis.news;
-        let way = match way {
-            Way::OnTrial => 't',
-            Way::Condemned => 'c',
-            Way::Released => 'r',
-            Way::GoingBack => 'b',
-            Way::Withdrawn => 'w',
-        };
+        let way = WAYS.iter().find(|(of, _)| *of == way).map_or('?', |(_, letter)| *letter);
         let ListMark { epoch, version } = basis.list;
         let body = format!("b{build}.{way}{stage}.{cap}.{since}.l{epoch}.{version}");
         match self.sign(&body) {
@@ -216,14 +212,8 @@
             }
             _ => false,
         };
-        let way = match parts[1].chars().next()? {
-            't' => Way::OnTrial,
-            'c' => Way::Condemned,
-            'r' => Way::Released,
-            'b' => Way::GoingBack,
-            'w' => Way::Withdrawn,
-            _ => return None,
-        };
+        let letter = parts[1].chars().next()?;
+        let way = WAYS.iter().find(|(_, of)| *of == letter)?.0;
         let news = NewsMark {
             build: parts[0].strip_prefix('b')?.parse().ok()?,
             way,
--- a/crates/handout/src/world.rs
+++ b/crates/handout/src/world.rs
@@ -5,7 +5,7 @@
 //! handed out before the list was heard whole and the platform has told how the newest build stands, each at least
 //! as far as what is known to have been handed out.
 
-use crate::order::{Basis, Label, ListMark, NewsMark};
+use crate::order::{Basis, Label, ListMark, NewsMark, Way};
 use latchhaven::api::{Build, Ms, StageNews};
 use std::cmp::Ordering;
 use std::collections::BTreeSet;
@@ -71,7 +71,7 @@
     /// The newest build was found bad here: from now on it is so for all who are told.
     pub fn condemn(&mut self) {
         if let Some(known) = self.news {
-            let mark = NewsMark { way: known.way.max(crate::order::Way::Condemned), ..known };
+            let mark = NewsMark { way: known.way.max(Way::Condemned), ..known };
             self.news = Some(mark);
         }
     }
@@ -92,7 +92,7 @@
     }
 
     fn take(&mut self, mark: NewsMark) {
-        if mark.way == crate::order::Way::Withdrawn {
+        if mark.way == Way::Withdrawn {
             self.withdrawn.insert(mark.build);
             while self.withdrawn.len() > WITHDRAWN_KEPT {
                 self.withdrawn.pop_first();
@@ -167,12 +167,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::order::{Labels, Way};
+    use crate::order::Labels;
     use latchhaven::api::Phase;
     use proptest::prelude::*;
 
     fn state(build: Build, stage: u32, phase: Phase, cap: f64) -> StageNews {
-        StageNews { valid: true, unsure: false, answer: false, build, stage, phase, cap, age: 0.0 }
+        StageNews::told(build, stage, phase, cap, 0.0)
     }
 
     #[test]
--- a/src/api.rs
+++ b/src/api.rs
@@ -164,6 +164,19 @@
     pub age: Ms,
 }
 
+impl StageNews {
+    /// A state of the newest build that was told.
+    pub fn told(build: Build, stage: u32, phase: Phase, cap: f64, age: Ms) -> Self {
+        StageNews { valid: true, unsure: false, answer: false, build, stage, phase, cap, age }
+    }
+
+    /// A vote that did not count, or may have and no answer came.
+    pub fn not_counted(build: Build, stage: u32, unsure: bool) -> Self {
+        let (valid, answer, phase, cap, age) = (false, true, Phase::OnTrial, 0.0, 0.0);
+        StageNews { valid, unsure, answer, build, stage, phase, cap, age }
+    }
+}
+
 /// Where this gateway stands among its like.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Place {
