A stream that ends before it began takes no place from the streams that are open

Open streams were counted, and every stream's end lowered the count: those refused or invalid before they had begun too, and some twice. A peer that opens and closes bad streams so raised the bound for all. They are a set by number now; a test ends streams that never began.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -185,7 +185,7 @@
 
     /// A stream that only reports loads wants to begin; false: there are too many.
     pub fn reports(&mut self, stream: u64, node: &str) -> bool {
-        let begins = self.admission.light() == Knock::Waits;
+        let begins = self.admission.light(stream) == Knock::Waits;
         if begins {
             self.proxy(node);
             self.streams.insert(stream, (node.to_string(), true));
--- a/crates/xds/src/admission.rs
+++ b/crates/xds/src/admission.rs
@@ -2,7 +2,7 @@
 //! already go on being served; what waits is bounded, and each waits its turn.
 
 use latchhaven::api::Ms;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Streams that begin per ms at most: each costs a whole state, some tens of KiB, so that a second of it is 100 MiB.
 const RATE: f64 = 2.0;
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct Admission {
     most: usize,
-    open: usize,
+    open: BTreeSet<u64>,
     saved: f64,
     at: Option<Ms>,
     waiting: VecDeque<u64>,
@@ -38,13 +38,13 @@
 impl Admission {
     /// Holds so many streams at most, waiting or open.
     pub fn new(most: usize) -> Self {
-        let (waiting, again, begun) = Default::default();
-        Admission { most, open: 0, saved: BURST, at: None, waiting, again, begun }
+        let (open, waiting, again, begun) = Default::default();
+        Admission { most, open, saved: BURST, at: None, waiting, again, begun }
     }
 
     /// A stream of a proxy wants to begin.
     pub fn knock(&mut self, stream: u64, proxy: &str, now: Ms) -> Knock {
-        if self.open + self.waiting.len() + self.again.len() >= self.most {
+        if self.full() {
             return Knock::Full;
         }
         let often = self.begun.get(proxy).is_some_and(|last| now - last < OFTEN);
@@ -63,14 +63,18 @@
     }
 
     /// A stream that is sent next to nothing begins at once, if there is room for it.
-    pub fn light(&mut self) -> Knock {
-        if self.open + self.waiting.len() + self.again.len() >= self.most {
+    pub fn light(&mut self, stream: u64) -> Knock {
+        if self.full() {
             return Knock::Full;
         }
-        self.open += 1;
+        self.open.insert(stream);
         Knock::Waits
     }
 
+    fn full(&self) -> bool {
+        self.open.len() + self.waiting.len() + self.again.len() >= self.most
+    }
+
     /// Those whose turn it is.
     pub fn turn(&mut self, now: Ms) -> Vec<u64> {
         let since = now - self.at.replace(now).unwrap_or(now);
@@ -78,7 +82,8 @@
         let mut begin = Vec::new();
         while self.saved >= 1.0 {
             let Some(stream) = self.waiting.pop_front().or_else(|| self.again.pop_front()) else { break };
-            (self.saved, self.open) = (self.saved - 1.0, self.open + 1);
+            self.saved -= 1.0;
+            self.open.insert(stream);
             begin.push(stream);
         }
         begin
@@ -89,13 +94,11 @@
         !self.waiting.is_empty() || !self.again.is_empty()
     }
 
-    /// A stream ended, begun or not.
+    /// A stream ended, begun or not; one that never knocked, or was told of before, takes nobody's place.
     pub fn over(&mut self, stream: u64) {
-        let before = self.waiting.len() + self.again.len();
-        self.waiting.retain(|waiting| *waiting != stream);
-        self.again.retain(|waiting| *waiting != stream);
-        if before == self.waiting.len() + self.again.len() {
-            self.open = self.open.saturating_sub(1);
+        if !self.open.remove(&stream) {
+            self.waiting.retain(|waiting| *waiting != stream);
+            self.again.retain(|waiting| *waiting != stream);
         }
     }
 }
@@ -117,6 +120,16 @@
         assert!(first[1..500].iter().all(|stream| *stream >= 500), "one noisy proxy starves nobody");
     }
 
+    #[test]
+    fn a_stream_that_never_began_frees_no_place_when_it_ends() {
+        let mut door = Admission::new(2);
+        assert_eq!((door.light(1), door.light(2), door.light(3)), (Knock::Waits, Knock::Waits, Knock::Full));
+        [3, 4, 5].into_iter().for_each(|stream| door.over(stream));
+        assert_eq!(door.knock(6, "p", 0.0), Knock::Full);
+        (0..2).for_each(|_| door.over(1));
+        assert_eq!((door.knock(6, "p", 0.0), door.light(7)), (Knock::Waits, Knock::Full));
+    }
+
     proptest! {
         #![proptest_config(ProptestConfig {
             failure_persistence: None,
@@ -145,7 +158,8 @@
                     _ if !begun.is_empty() => door.over(begun.swap_remove(pick as usize % begun.len())),
                     _ => {}
                 }
-                prop_assert!(begun.len() == door.open && door.open + door.waiting.len() + door.again.len() <= 30);
+                let open = door.open.len();
+                prop_assert!(begun.len() == open && open + door.waiting.len() + door.again.len() <= 30);
                 prop_assert!(total <= BURST + RATE * now);
             }
         }
