One loop for a stream's answers, one way to carry a stream, one hash, one look-up of what is held

The discovery loop had a second one within it for when nothing is to be said; a flag does. Streams of loads and of discovery were carried by twin code, a first request was read twice, the hash of names and contents written anew, and what is held or asked for looked up in four places. A number in each answer that nobody read is gone.

--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -4,13 +4,14 @@
 use bytes::Bytes;
 use latchhaven_xds::codec::Pieces;
 use latchhaven_xds::loads::TOOK;
-use latchhaven_xds::pb::envoy::config::core::v3::{Address, Node, SocketAddress, address, socket_address};
+use latchhaven_xds::pb::envoy::config::core::v3::Node;
 use latchhaven_xds::pb::envoy::config::endpoint::v3::{
     ClusterStats, EndpointLoadMetricStats, UpstreamEndpointStats, UpstreamLocalityStats,
 };
 use latchhaven_xds::pb::envoy::service::discovery::v3::{DeltaDiscoveryResponse, DiscoveryResponse};
 use latchhaven_xds::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
 use latchhaven_xds::pb::google::protobuf::Duration as Span;
+use latchhaven_xds::resources::address;
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -242,13 +243,6 @@
     LoadStatsRequest { node, cluster_stats: clusters }
 }
 
-fn address(addr: SocketAddr) -> Address {
-    let port = socket_address::PortSpecifier::PortValue(u32::from(addr.port()));
-    let socket =
-        SocketAddress { address: addr.ip().to_string(), port_specifier: Some(port), ..Default::default() };
-    Address { address: Some(address::Address::SocketAddress(socket)) }
-}
-
 impl Proxy {
     /// Reports once a second, as long as it is not cut off, how so many txns a second went.
     pub async fn reports(
--- a/crates/xds/src/resources.rs
+++ b/crates/xds/src/resources.rs
@@ -1,5 +1,5 @@
-//! A handout as resources of xDS. Each is encoded once and shared by all streams; one whose bytes do not change keeps
-//! its label, so that nobody is sent it anew.
+//! A handout as resources of xDS. Each is encoded once and shared by all streams; one whose bytes do not change is told
+//! by its hash, so that nobody is sent it anew.
 
 use crate::pb::envoy::config::cluster::v3 as cluster;
 use crate::pb::envoy::config::core::v3 as core;
@@ -128,7 +128,7 @@
         let made = (0..products.len()).map(|product| {
             let cluster = Cluster { build, product, in_flight: GONE_IN_FLIGHT, repeats: false };
             let raw = one_cluster(&cluster, products, front);
-            let hash = hash(&raw.bytes);
+            let hash = hash(raw.bytes.iter().copied());
             Arc::new(encode(Kind::Cluster, raw, hash))
         });
         made.collect()
@@ -155,13 +155,12 @@
             let before = earlier.and_then(|earlier| earlier.sets.get(&(kind, apart)));
             let mut set = Set::new();
             for raw in raws {
-                let hash = hash(&raw.bytes);
+                let hash = hash(raw.bytes.iter().copied());
                 let same = before.and_then(|(_, set)| set.get(&raw.name)).filter(|held| held.hash == hash);
                 let resource = same.cloned().unwrap_or_else(|| Arc::new(encode(kind, raw, hash)));
                 set.insert(resource.name.clone(), resource);
             }
-            let all: Vec<u8> = set.values().flat_map(|resource| resource.hash.to_be_bytes()).collect();
-            let all = hash(&all);
+            let all = hash(set.values().flat_map(|resource| resource.hash.to_be_bytes()));
             let held = before.filter(|(content, held)| *content == all && held.keys().eq(set.keys()));
             let set = held.map_or_else(|| Arc::new(set), |(_, held)| held.clone());
             ((kind, apart), (all, set))
@@ -194,10 +193,14 @@
 }
 
 /// FNV-1a of 64 bits: tells contents apart, and is the same everywhere. Labels are signed by other means.
-fn hash(bytes: &[u8]) -> u64 {
-    bytes
-        .iter()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+pub(crate) fn hash(bytes: impl IntoIterator<Item = u8>) -> u64 {
+    let add = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    bytes.into_iter().fold(0xcbf2_9ce4_8422_2325, add)
+}
+
+/// A name as resource names can hold it.
+fn plain(name: &str) -> String {
+    name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect()
 }
 
 /// One field of a message that holds bytes.
@@ -253,7 +256,8 @@
     }
 }
 
-fn address(addr: SocketAddr) -> core::Address {
+/// An address as resources and load reports tell it.
+pub fn address(addr: SocketAddr) -> core::Address {
     let port = core::socket_address::PortSpecifier::PortValue(u32::from(addr.port()));
     let socket = core::SocketAddress {
         address: addr.ip().to_string(),
@@ -338,9 +342,7 @@
 
 /// The prefix of a build's hosts of one zone.
 fn collection(build: Build, zone: &str) -> String {
-    let zone: String =
-        zone.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
-    format!("{COLLECTION}b{build}/z{zone}/")
+    format!("{COLLECTION}b{build}/z{}/", plain(zone))
 }
 
 fn endpoints(handout: &Handout, apart: bool) -> Vec<Raw> {
@@ -391,14 +393,9 @@
 fn hosts_apart(handout: &Handout) -> Vec<Raw> {
     let made = handout.hosts.iter().flat_map(|(build, hosts)| {
         hosts.iter().map(|host| {
-            let id: String = host
-                .instance
-                .chars()
-                .map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' })
-                .collect();
             // Ids that differ only in what names cannot hold stay two.
-            let name =
-                format!("{}{id}-{:x}", collection(*build, &host.zone), hash(host.instance.as_bytes()) as u32);
+            let (id, apart) = (plain(&host.instance), hash(host.instance.bytes()) as u32);
+            let name = format!("{}{id}-{apart:x}", collection(*build, &host.zone));
             Raw { name, refers: BTreeSet::new(), bytes: one_host(host).encode_to_vec() }
         })
     });
--- a/crates/xds/src/server.rs
+++ b/crates/xds/src/server.rs
@@ -8,7 +8,7 @@
 use crate::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
 use crate::pb::google::protobuf::Duration as Span;
 use crate::resources::{Kind, Snapshot};
-use crate::stream::{Ask, Fault, Said, Stream};
+use crate::stream::{Ask, Fault, NODE_MOST, Said, Stream};
 use bytes::Bytes;
 use ipnet::IpNet;
 use latchhaven_handout::evidence::Report;
@@ -238,20 +238,16 @@
         let path = request.uri().path().to_string();
         Box::pin(async move {
             if path == "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats" {
-                let mut grpc = Grpc::new(Pieces::<LoadStatsRequest>::default());
-                grpc = grpc.max_decoding_message_size(REQUEST_MOST);
+                let mut grpc = grpc::<LoadStatsRequest>();
                 return Ok(grpc.streaming(Loads { ground, stream }, request).await);
             }
             match discovery(&path) {
-                Some((false, only)) => {
-                    let mut grpc = Grpc::new(Pieces::<DiscoveryRequest>::default());
-                    grpc = grpc.max_decoding_message_size(REQUEST_MOST);
-                    Ok(grpc.streaming(Discovery { ground, stream, incremental: false, only }, request).await)
-                }
-                Some((true, only)) => {
-                    let mut grpc = Grpc::new(Pieces::<DeltaDiscoveryRequest>::default());
-                    grpc = grpc.max_decoding_message_size(REQUEST_MOST);
-                    Ok(grpc.streaming(Discovery { ground, stream, incremental: true, only }, request).await)
+                Some((incremental, only)) => {
+                    let discovery = Discovery { ground, stream, incremental, only };
+                    Ok(match incremental {
+                        true => grpc::<DeltaDiscoveryRequest>().streaming(discovery, request).await,
+                        false => grpc::<DiscoveryRequest>().streaming(discovery, request).await,
+                    })
                 }
                 None => Ok(Status::unimplemented(format!("'{path}' is not served here")).into_http()),
             }
@@ -259,9 +255,14 @@
     }
 }
 
+type Sender = mpsc::Sender<Result<Vec<Bytes>, Status>>;
 type Answers = ReceiverStream<Result<Vec<Bytes>, Status>>;
 type Answering = Pin<Box<dyn Future<Output = Result<Response<Answers>, Status>> + Send>>;
 
+fn grpc<T: Message + Default + Send + 'static>() -> Grpc<Pieces<T>> {
+    Grpc::new(Pieces::default()).max_decoding_message_size(REQUEST_MOST)
+}
+
 /// A node's id, and what it says of what it can.
 fn told_of(node: Option<Node>) -> (Option<String>, Vec<String>) {
     node.map_or((None, Vec::new()), |node| (Some(node.id), node.client_features))
@@ -313,26 +314,35 @@
     type Future = Answering;
 
     fn call(&mut self, request: Request<Streaming<R>>) -> Answering {
-        let (ground, number) = (self.ground.clone(), self.stream);
-        let stream = Stream::new(self.incremental, self.only, ground.labels.clone());
-        let incremental = self.incremental;
-        Box::pin(async move {
-            // One answer on its way: more would be a queue of old ones behind a slow reader.
-            let (answers, stream_of_answers) = mpsc::channel(1);
-            tokio::spawn(async move {
-                let asks = request.into_inner();
-                let told = ground.told.clone();
-                let ended = discover(asks, stream, number, incremental, ground, &answers).await;
-                let _ = told.send(Told::Over { stream: number }).await;
-                if let Err(status) = ended {
-                    let _ = answers.send(Err(status)).await;
-                }
-            });
-            Ok(Response::new(ReceiverStream::new(stream_of_answers)))
+        let (ground, number, incremental) = (self.ground.clone(), self.stream, self.incremental);
+        let stream = Stream::new(incremental, self.only, ground.labels.clone());
+        carry(ground.told.clone(), number, async move |answers| {
+            discover(request.into_inner(), stream, number, incremental, ground, &answers).await
         })
     }
 }
 
+/// Carries a stream until it ends, on a task of its own, and tells of its end.
+fn carry<F>(
+    told: mpsc::Sender<Told>, stream: u64, work: impl FnOnce(Sender) -> F + Send + 'static,
+) -> Answering
+where
+    F: Future<Output = Result<(), Status>> + Send + 'static,
+{
+    Box::pin(async move {
+        // One answer on its way: more would be a queue of old ones behind a slow reader.
+        let (answers, stream_of_answers) = mpsc::channel(1);
+        tokio::spawn(async move {
+            let ended = work(answers.clone()).await;
+            let _ = told.send(Told::Over { stream }).await;
+            if let Err(status) = ended {
+                let _ = answers.send(Err(status)).await;
+            }
+        });
+        Ok(Response::new(ReceiverStream::new(stream_of_answers)))
+    })
+}
+
 fn status(fault: Fault) -> Status {
     match fault {
         Fault::Invalid(what) => Status::invalid_argument(what),
@@ -342,81 +352,72 @@
 
 async fn discover<R: Into<Ask>>(
     mut asks: Streaming<R>, mut stream: Stream, number: u64, incremental: bool, mut ground: Ground,
-    answers: &mpsc::Sender<Result<Vec<Bytes>, Status>>,
+    answers: &Sender,
 ) -> Result<(), Status> {
-    let first = timeout(FIRST, asks.message()).await;
-    let Some(first) = first.map_err(|_| Status::deadline_exceeded("nothing was asked"))?? else {
-        return Ok(());
-    };
-    stream.ask(first.into()).map_err(status)?;
+    let Some(ask) = first(&mut asks).await? else { return Ok(()) };
+    stream.ask(ask.into()).map_err(status)?;
     let node = stream.node().unwrap_or_default().to_string();
     knock(&ground.told, number, node, false).await?;
-    let over = || Status::unavailable("the control service ends");
     let (mut naming, mut named) = (std::pin::pin!(sleep(NAMING)), false);
+    // Set where nothing is to be said until something is asked or decided.
+    let mut quiet = false;
     loop {
         let said = stream.said();
         if !said.is_empty() {
-            ground.told.send(Told::Said { stream: number, said }).await.map_err(|_| over())?;
+            ground.told.send(Told::Said { stream: number, said }).await.map_err(over)?;
         }
-        // An answer is chosen only once there is room for it: it is the newest then.
-        let room = answers.reserve();
-        let ready = ground.snapshots.borrow_and_update().is_some();
         select! {
             biased;
-            ask = asks.message() => match ask? {
-                Some(ask) => stream.ask(ask.into()).map_err(status)?,
-                None => return Ok(()),
-            },
-            room = room, if ready => {
+            ask = asks.message() => {
+                let Some(ask) = ask? else { return Ok(()) };
+                stream.ask(ask.into()).map_err(status)?;
+                quiet = false;
+            }
+            // An answer is chosen only once there is room for it: it is the newest then.
+            room = answers.reserve(), if !quiet => {
                 let Ok(room) = room else { return Ok(()) };
                 let newest = ground.snapshots.borrow_and_update().clone();
-                match newest.as_ref().and_then(|snapshot| stream.next(snapshot)) {
-                    Some(answer) => {
-                        if let Some(trial) = answer.trial {
-                            ground.told.send(Told::Sends { stream: number, trial }).await.map_err(|_| over())?;
-                        }
-                        let bytes = answer.pieces.iter().map(Bytes::len).sum::<usize>() as u64;
-                        let sent = &ground.sent;
-                        let (messages, sum) = match incremental {
-                            true => (&sent.incremental_messages, &sent.incremental_bytes),
-                            false => (&sent.messages, &sent.bytes),
-                        };
-                        messages.fetch_add(1, Ordering::Relaxed);
-                        sum.fetch_add(bytes, Ordering::Relaxed);
-                        room.send(Ok(answer.pieces));
-                    }
-                    None => {
-                        drop(room);
-                        let said = stream.said();
-                        if !said.is_empty() {
-                            ground.told.send(Told::Said { stream: number, said }).await.map_err(|_| over())?;
-                        }
-                        // Nothing to say until something is asked or decided.
-                        select! {
-                            ask = asks.message() => match ask? {
-                                Some(ask) => stream.ask(ask.into()).map_err(status)?,
-                                None => return Ok(()),
-                            },
-                            changed = ground.snapshots.changed() => changed.map_err(|_| over())?,
-                            () = &mut naming, if !named => {
-                                named = true;
-                                stream.hasten();
-                            }
-                        }
-                    }
+                let answer = newest.as_ref().and_then(|snapshot| stream.next(snapshot));
+                quiet = answer.is_none();
+                let Some(answer) = answer else { continue };
+                if let Some(trial) = answer.trial {
+                    ground.told.send(Told::Sends { stream: number, trial }).await.map_err(over)?;
                 }
-            },
-            changed = ground.snapshots.changed(), if !ready => changed.map_err(|_| over())?,
+                let (messages, bytes) = match incremental {
+                    true => (&ground.sent.incremental_messages, &ground.sent.incremental_bytes),
+                    false => (&ground.sent.messages, &ground.sent.bytes),
+                };
+                messages.fetch_add(1, Ordering::Relaxed);
+                bytes.fetch_add(answer.pieces.iter().map(Bytes::len).sum::<usize>() as u64, Ordering::Relaxed);
+                room.send(Ok(answer.pieces));
+            }
+            changed = ground.snapshots.changed() => {
+                changed.map_err(over)?;
+                quiet = false;
+            }
+            () = &mut naming, if !named => {
+                (named, quiet) = (true, false);
+                stream.hasten();
+            }
         }
     }
 }
 
+/// What is told to a stream whose other end in the service is gone.
+fn over<E>(_: E) -> Status {
+    Status::unavailable("the control service ends")
+}
+
+/// The first request of a stream, if it comes in time; none: the stream ended.
+async fn first<R>(asks: &mut Streaming<R>) -> Result<Option<R>, Status> {
+    timeout(FIRST, asks.message()).await.map_err(|_| Status::deadline_exceeded("nothing was asked"))?
+}
+
 async fn knock(told: &mpsc::Sender<Told>, stream: u64, node: String, loads: bool) -> Result<(), Status> {
     let (turn, turned) = oneshot::channel();
-    let over = |()| Status::unavailable("the control service ends");
-    told.send(Told::Knocks { stream, node, loads, turn }).await.map_err(|_| over(()))?;
+    told.send(Told::Knocks { stream, node, loads, turn }).await.map_err(over)?;
     match timeout(TURN, turned).await {
-        Ok(turn) => turn.map_err(|_| over(()))?,
+        Ok(turn) => turn.map_err(over)?,
         Err(_) => Err(Status::resource_exhausted("too many begin at once: come again later")),
     }
 }
@@ -433,31 +434,18 @@
 
     fn call(&mut self, request: Request<Streaming<LoadStatsRequest>>) -> Answering {
         let (ground, number) = (self.ground.clone(), self.stream);
-        Box::pin(async move {
-            let (answers, stream_of_answers) = mpsc::channel(1);
-            tokio::spawn(async move {
-                let told = ground.told.clone();
-                let ended = report(request.into_inner(), number, ground, &answers).await;
-                let _ = told.send(Told::Over { stream: number }).await;
-                if let Err(status) = ended {
-                    let _ = answers.send(Err(status)).await;
-                }
-            });
-            Ok(Response::new(ReceiverStream::new(stream_of_answers)))
+        carry(ground.told.clone(), number, async move |answers| {
+            report(request.into_inner(), number, ground, &answers).await
         })
     }
 }
 
 async fn report(
-    mut reports: Streaming<LoadStatsRequest>, number: u64, ground: Ground,
-    answers: &mpsc::Sender<Result<Vec<Bytes>, Status>>,
+    mut reports: Streaming<LoadStatsRequest>, number: u64, ground: Ground, answers: &Sender,
 ) -> Result<(), Status> {
-    let first = timeout(FIRST, reports.message()).await;
-    let Some(first) = first.map_err(|_| Status::deadline_exceeded("nothing was asked"))?? else {
-        return Ok(());
-    };
+    let Some(first) = first(&mut reports).await? else { return Ok(()) };
     let node = first.node.map(|node| node.id).unwrap_or_default();
-    if node.is_empty() || node.len() > 256 {
+    if node.is_empty() || node.len() > NODE_MOST {
         return Err(Status::invalid_argument("node.id: missing or too long"));
     }
     knock(&ground.told, number, node, true).await?;
@@ -473,9 +461,8 @@
     while let Some(request) = reports.message().await? {
         let report = loads::read(&request, &ground.products).map_err(Status::invalid_argument)?;
         let (sound, heard) = oneshot::channel();
-        let over = || Status::unavailable("the control service ends");
-        ground.told.send(Told::Report { stream: number, report, sound }).await.map_err(|_| over())?;
-        heard.await.map_err(|_| over())?.map_err(Status::invalid_argument)?;
+        ground.told.send(Told::Report { stream: number, report, sound }).await.map_err(over)?;
+        heard.await.map_err(over)?.map_err(Status::invalid_argument)?;
     }
     Ok(())
 }
--- a/crates/xds/src/stream.rs
+++ b/crates/xds/src/stream.rs
@@ -7,7 +7,7 @@
 //! - *Never backwards*: nothing is sent while the snapshot is older, in any part, than what the proxy holds.
 //! - *One pending answer a type*; a refused one is not sent again while its bytes are the same.
 
-use crate::resources::{Kind, Resource, Set, Snapshot, field};
+use crate::resources::{Kind, Resource, Set, Snapshot, field, hash};
 use bytes::{BufMut, Bytes, BytesMut};
 use latchhaven_handout::ledger::Shares;
 use latchhaven_handout::order::{Basis, Label, Labels, halves};
@@ -22,7 +22,7 @@
 const NAMES_MOST: usize = 1_024;
 /// Bytes of one name, and of a node's id.
 const NAME_MOST: usize = 512;
-const NODE_MOST: usize = 256;
+pub const NODE_MOST: usize = 256;
 /// Resources that a proxy may say it holds: clusters and hosts of several builds.
 const HELD_MOST: usize = 20_000;
 /// Builds that are gone and whose clusters a proxy that came back may keep for a while.
@@ -79,8 +79,6 @@
     pub pieces: Vec<Bytes>,
     /// The shares of the trial in it, where it holds routes.
     pub trial: Option<Shares>,
-    /// Which snapshot of this process it is of.
-    pub number: u64,
 }
 
 /// What a proxy holds under a name; the resource itself where it was sent on this stream.
@@ -137,15 +135,26 @@
     said: Vec<Said>,
 }
 
-/// FNV-1a over names and hashes.
+/// Tells apart answers by names and contents.
 fn content(resources: &[Arc<Resource>]) -> u64 {
-    let mut sum = 0xcbf2_9ce4_8422_2325u64;
-    for resource in resources {
-        for byte in resource.name.bytes().chain(resource.hash.to_be_bytes()) {
-            sum = (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-        }
+    hash(resources.iter().flat_map(|resource| resource.name.bytes().chain(resource.hash.to_be_bytes())))
+}
+
+impl Per {
+    /// It is held as it is now.
+    fn holds(&self, resource: &Resource) -> bool {
+        self.held.get(&resource.name).is_some_and(|held| held.hash == resource.hash)
+    }
+
+    /// It was asked for.
+    fn wants(&self, name: &String) -> bool {
+        self.wild || self.names.contains(name) || self.names.iter().any(|glob| globbed(glob, name))
+    }
+
+    /// The resources of a set that were asked for.
+    fn wanted<'a>(&'a self, set: &'a Set) -> impl Iterator<Item = &'a Arc<Resource>> {
+        set.values().filter(|resource| self.wants(&resource.name))
     }
-    sum
 }
 
 impl Stream {
@@ -303,9 +312,7 @@
         for resource in pending.resources {
             per.refused_apart.remove(&resource.name);
             // Let go while the answer was on its way: the proxy has dropped it.
-            let named =
-                per.names.contains(&resource.name) || per.names.iter().any(|n| globbed(n, &resource.name));
-            if per.wild || named {
+            if per.wants(&resource.name) {
                 let held = Held { hash: resource.hash, resource: Some(resource.clone()) };
                 per.held.insert(resource.name.clone(), held);
             }
@@ -370,9 +377,7 @@
         let asked = self.kinds.iter().filter(|(_, per)| per.asked);
         let behind = |(kind, per): &(&Kind, &Per)| {
             let (_, set) = snapshot.set(**kind, self.apart);
-            let held =
-                |new: &Arc<Resource>| per.held.get(&new.name).is_some_and(|held| held.hash == new.hash);
-            per.pending.is_some() || !wanted(per, set).all(held)
+            per.pending.is_some() || !per.wanted(set).all(|new| per.holds(new))
         };
         asked.into_iter().find(behind).map(|(kind, _)| *kind)
     }
@@ -421,8 +426,7 @@
             let per = self.kinds.get_mut(&kind)?;
             if kind == Kind::Route
                 && per.guard.take().is_some()
-                && wanted(per, set)
-                    .all(|new| per.held.get(&new.name).is_some_and(|held| held.hash == new.hash))
+                && per.wanted(set).all(|new| per.holds(new))
                 && !per.held.is_empty()
             {
                 self.said.push(Said::Accepted(snapshot.trial.clone()));
@@ -439,7 +443,7 @@
         per.owed_names.clear();
         let content = content(&resources);
         per.pending = Some(Pending { resources, removed, all, trial: trial.clone(), content });
-        Some(Answer { kind, pieces, trial, number: snapshot.number })
+        Some(Answer { kind, pieces, trial })
     }
 
     /// A whole answer: for types without names everything, for others what is new.
@@ -447,13 +451,12 @@
         &self, kind: Kind, snapshot: &Snapshot, set: &Set, keeps: impl Fn(&String) -> bool,
     ) -> Option<(Vec<Arc<Resource>>, Vec<String>, bool)> {
         let per = &self.kinds[&kind];
-        let held = |new: &Resource| per.held.get(&new.name).is_some_and(|held| held.hash == new.hash);
         if !kind.wild() {
-            let new: Vec<_> = wanted(per, set).filter(|new| per.owed || !held(new)).cloned().collect();
+            let new: Vec<_> = per.wanted(set).filter(|new| per.owed || !per.holds(new)).cloned().collect();
             let refused = per.refused == Some(content(&new));
             return (!new.is_empty() && !refused).then_some((new, Vec::new(), false));
         }
-        let mut all: Vec<_> = wanted(per, set).cloned().collect();
+        let mut all: Vec<_> = per.wanted(set).cloned().collect();
         let gone = per.held.iter().filter(|(name, _)| !set.contains_key(*name));
         let stays = gone.filter(|(name, _)| keeps(name)).filter_map(|(_, held)| held.resource.clone());
         all.extend(stays);
@@ -468,7 +471,7 @@
             }
             all.sort_by(|a, b| a.name.cmp(&b.name));
         }
-        let same = all.len() == per.held.len() && all.iter().all(|new| held(new));
+        let same = all.len() == per.held.len() && all.iter().all(|new| per.holds(new));
         let refused = per.refused == Some(content(&all));
         ((per.owed || !same) && !refused).then_some((all, Vec::new(), true))
     }
@@ -480,11 +483,10 @@
         let per = &self.kinds[&kind];
         let owed = |name: &String| per.owed_names.iter().any(|owed| owed == name || globbed(owed, name));
         let fresh = |new: &&Arc<Resource>| {
-            let held = per.held.get(&new.name).is_some_and(|held| held.hash == new.hash);
             let refused = per.refused_apart.get(&new.name) == Some(&new.hash);
-            (!held || owed(&new.name)) && !refused
+            (!per.holds(new) || owed(&new.name)) && !refused
         };
-        let new: Vec<_> = wanted(per, set).filter(fresh).cloned().collect();
+        let new: Vec<_> = per.wanted(set).filter(fresh).cloned().collect();
         let gone = per.held.keys().filter(|name| !set.contains_key(*name) && !keeps(name));
         let absent = per.owed_names.iter().filter(|name| !name.ends_with('*') && !set.contains_key(*name));
         let removed: BTreeSet<String> = gone.chain(absent).cloned().collect();
@@ -542,15 +544,6 @@
     glob.strip_suffix('*').is_some_and(|prefix| prefix.ends_with('/') && name.starts_with(prefix))
 }
 
-/// The resources of a type that a stream asked for.
-fn wanted<'a>(per: &'a Per, set: &'a Set) -> impl Iterator<Item = &'a Arc<Resource>> {
-    set.values().filter(|resource| {
-        per.wild
-            || per.names.contains(&resource.name)
-            || per.names.iter().any(|glob| globbed(glob, &resource.name))
-    })
-}
-
 /// An answer on the wire. Resources come first: they are shared, and the order of fields is free.
 fn pieces(
     kind: Kind, incremental: bool, snapshot: &Snapshot, all: u64, resources: &[Arc<Resource>],
