Twins in stand-ins, lab, client and program are one piece of code each

The agenda of simulated time, a child's log and the address it listens at, asks of a stand-in proxy and its answers, the seeding of property tests, which gateways may be dialled, and the line of a key in a file were each written two to ten times. A client's query was encoded whole only to see whether its names fit. The pool's own test now asks that it does not want to be looked at again at once.

--- a/crates/client/src/call.rs
+++ b/crates/client/src/call.rs
@@ -135,7 +135,7 @@
         Some(left)
     }
 
-    /// The first byte goes out: from here on it counts as one that may have run, until its end tells otherwise.
+    /// Whether a try may go out after so many ms, by what may have run before.
     fn may_send(&self, now: &Moment, after: Ms) -> bool {
         match (self.effect, &self.ran) {
             (_, None) | (Effect::InquiryLike, _) => true,
@@ -267,11 +267,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig {
-            failure_persistence: None,
-            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-            ..ProptestConfig::default()
-        })]
+        #![proptest_config(latchhaven_fixed::fixed())]
 
         /// Over any endings at any moments: at most one try of a once-only call that may have run, a referenced one
         /// sent again only while hosts remember, nothing written past the expiry, one result.
--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -291,7 +291,9 @@
         &self, effect: Effect, asked: Asked<'_>, expiry: Ms, worth: f64,
     ) -> Option<(Verdict, Value)> {
         let shared = &self.shared;
-        asked.query(&shared.terms, "0", 1, false)?;
+        if !asked.query(&shared.terms, "0", 1, false).fits() {
+            return None;
+        }
         let began = shared.now();
         let mut call = Call::new(effect, expiry, shared.terms.least, began);
         let mut next = call.begin(&mut shared.chance().0, &began);
@@ -313,7 +315,7 @@
                 return Some((call.give_up(), Value::new()));
             };
             let id = format!("{:016x}", shared.chance().1.random::<u64>());
-            let bytes = asked.query(&shared.terms, &id, told as u64, repeat)?;
+            let bytes = wire::query(&asked.query(&shared.terms, &id, told as u64, repeat))?;
             shared.written.fetch_add(1, Ordering::Relaxed);
             shared.repeated.fetch_add(u64::from(repeat), Ordering::Relaxed);
             let end = held.ask(&bytes, span(told)).await;
@@ -362,11 +364,14 @@
     key: Option<&'a String>,
 }
 
-impl Asked<'_> {
-    fn query(&self, terms: &Terms, id: &str, left: u64, repeat: bool) -> Option<Bytes> {
+impl<'a> Asked<'a> {
+    fn query<'b>(&self, terms: &'b Terms, id: &'b str, left: u64, repeat: bool) -> Query<'b>
+    where
+        'a: 'b,
+    {
         let (doc, key) = (self.doc.map(Vec::as_slice), self.key.map(String::as_str));
         let tenant = terms.tenant.as_deref();
-        wire::query(&Query { id, product: self.product, tenant, item: self.item, doc, key, left, repeat })
+        Query { id, product: self.product, tenant, item: self.item, doc, key, left, repeat }
     }
 }
 
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -210,8 +210,7 @@
         let span = (RETURN * f64::from(1u32 << (gateway.failures - 1).min(8))).min(RETURN_MOST).max(told);
         gateway.until = now + span * self.rng.random::<f64>();
         // Neither are the others dialled at once: all processes that lost this one would move at the same moment.
-        let moves = now + RETURN.max(told) * self.rng.random::<f64>();
-        self.moves = self.moves.max(moves.min(gateway.until.max(moves)));
+        self.moves = self.moves.max(now + RETURN.max(told) * self.rng.random::<f64>());
     }
 
     /// Gives connections out, and opens and closes some.
@@ -255,30 +254,36 @@
         Some(self.waiting.remove(n).call)
     }
 
+    /// One more call waits than connections are being opened, and one more may be.
+    fn room(&self) -> bool {
+        let dialling = self.links.values().filter(|link| link.state == State::Dialling).count();
+        let room = self.links.len() < self.bounds.connections && dialling < self.bounds.dials;
+        room && self.waiting.len() > dialling
+    }
+
+    /// Gateways that may be dialled once their time has come. Half open, after a failure, one gets a single connection
+    /// until it has answered.
+    fn dialled(&self) -> impl Iterator<Item = (usize, &Gateway)> {
+        let open: BTreeSet<usize> = self.links.values().map(|link| link.gateway).collect();
+        let may = move |(n, gateway): &(usize, &Gateway)| {
+            gateway.answered.is_some() || gateway.failures == 0 || !open.contains(n)
+        };
+        self.gateways.iter().enumerate().filter(may)
+    }
+
     /// Opens as many as wait, within the bounds, to the first gateway by rank that may be dialled.
     fn dial(&mut self, now: Ms) -> Vec<Do> {
         let mut todo = Vec::new();
-        loop {
-            let dialling = self.links.values().filter(|link| link.state == State::Dialling).count();
-            let room = self.links.len() < self.bounds.connections && dialling < self.bounds.dials;
-            if !room || self.waiting.len() <= dialling || now < self.moves {
-                return todo;
-            }
-            let open: BTreeSet<usize> = self.links.values().map(|link| link.gateway).collect();
-            let may = |(n, gateway): &(usize, &Gateway)| {
-                // Half open: one connection until it has answered.
-                let tried = gateway.answered.is_some() || gateway.failures == 0;
-                gateway.until <= now && (tried || !open.contains(n))
-            };
-            let rank = |(_, gateway): &(usize, &Gateway)| gateway.rank;
-            let found =
-                self.gateways.iter().enumerate().filter(may).min_by(|a, b| rank(a).total_cmp(&rank(b)));
-            let Some(gateway) = found.map(|(n, _)| n) else { return todo };
+        while self.room() && now >= self.moves {
+            let found = self.dialled().filter(|(_, gateway)| gateway.until <= now);
+            let found = found.min_by(|(_, a), (_, b)| a.rank.total_cmp(&b.rank));
+            let Some(gateway) = found.map(|(n, _)| n) else { break };
             self.next += 1;
             let link = self.next;
             self.links.insert(link, Link { gateway, state: State::Dialling, ends: f64::INFINITY });
             todo.push(Do::Dial { link, gateway });
         }
+        todo
     }
 
     /// When [`Pool::turn`] is to be called next, at the latest.
@@ -287,16 +292,9 @@
             State::Idle(since) => (since + self.bounds.idle).min(link.ends),
             _ => f64::INFINITY,
         });
-        let dialling = self.links.values().filter(|link| link.state == State::Dialling).count();
-        let room = self.links.len() < self.bounds.connections && dialling < self.bounds.dials;
         // Where no room is left, or a gateway's one connection has yet to answer, only an event changes that.
-        let open: BTreeSet<usize> = self.links.values().map(|link| link.gateway).collect();
-        let may = |(n, gateway): &(usize, &Gateway)| {
-            gateway.answered.is_some() || gateway.failures == 0 || !open.contains(n)
-        };
-        let dial =
-            self.gateways.iter().enumerate().filter(may).map(|(_, gateway)| gateway.until.max(self.moves));
-        let dial = dial.filter(|_| room && self.waiting.len() > dialling).fold(f64::INFINITY, f64::min);
+        let dial = self.dialled().filter(|_| self.room()).map(|(_, gateway)| gateway.until.max(self.moves));
+        let dial = dial.fold(f64::INFINITY, f64::min);
         links.fold(dial, f64::min)
     }
 
@@ -417,11 +415,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig {
-            failure_persistence: None,
-            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-            ..ProptestConfig::default()
-        })]
+        #![proptest_config(latchhaven_fixed::fixed())]
 
         /// Over any order of events: bounds hold, each call is given one connection or turned away once, and no
         /// connection is two calls'.
@@ -474,6 +468,7 @@
                         Do::Turn { call } => prop_assert!(ended.insert(call)),
                     }
                 }
+                prop_assert!(pool.next() > now, "it would be looked at again and again");
                 prop_assert!(pool.open() <= 4 && dialling.len() <= 2 && pool.waiting() <= 8);
                 prop_assert_eq!(pool.open(), dialling.len() + busy.len() + idle.len());
                 prop_assert_eq!(calls as usize, ended.len() + pool.waiting());
--- a/crates/client/src/wire.rs
+++ b/crates/client/src/wire.rs
@@ -67,10 +67,17 @@
     !name.is_empty() && name.len() <= 128 && name.bytes().all(fits)
 }
 
+impl Query<'_> {
+    /// True where all its names are plain.
+    pub fn fits(&self) -> bool {
+        let names = [Some(self.id), Some(self.product), self.tenant, Some(self.item), self.key];
+        names.into_iter().flatten().all(plain)
+    }
+}
+
 /// A query's bytes; none where a name in it is not plain.
 pub fn query(query: &Query) -> Option<Bytes> {
-    let names = [Some(query.id), Some(query.product), query.tenant, Some(query.item), query.key];
-    if !names.into_iter().flatten().all(plain) {
+    if !query.fits() {
         return None;
     }
     let mut text = match query.doc {
@@ -300,11 +307,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig {
-            failure_persistence: None,
-            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-            ..ProptestConfig::default()
-        })]
+        #![proptest_config(latchhaven_fixed::fixed())]
 
         #[test]
         fn no_bytes_panic(bytes in prop::collection::vec(any::<u8>(), 0..300), at in 0usize..300) {
--- a/crates/control/tests/cases.rs
+++ b/crates/control/tests/cases.rs
@@ -9,10 +9,8 @@
 use latchhaven_handout::order::Labels;
 use latchhaven_standins::cache::{Cache, Wanted};
 use latchhaven_wire::terms;
-use latchhaven_xds::pb::envoy::service::discovery::v3::{DeltaDiscoveryResponse, DiscoveryResponse};
 use latchhaven_xds::resources::{Front, Kind, Snapshot};
 use latchhaven_xds::stream::{Ask, Stream};
-use prost::Message;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -164,13 +162,7 @@
 
     fn ask(&mut self, service: &mut Service) {
         let Some((number, stream, asks)) = &mut self.stream else { return };
-        for ask in asks.drain(..) {
-            let ask = match ask {
-                Wanted::Whole(ask) => Ask::from(ask),
-                Wanted::Apart(ask) => Ask::from(ask),
-            };
-            stream.ask(ask).unwrap();
-        }
+        asks.drain(..).for_each(|ask| stream.ask(ask.into()).unwrap());
         let said = stream.said();
         service.core.said(*number, said, service.now);
     }
@@ -185,11 +177,7 @@
         if let Some(trial) = &answer.trial {
             service.core.sends(*number, trial, service.now);
         }
-        let (bytes, refuse) = (answer.pieces.concat(), self.refuses && answer.kind == Kind::Route);
-        *asks = match self.cache.incremental() {
-            false => self.cache.whole(&DiscoveryResponse::decode(bytes.as_slice()).unwrap(), refuse),
-            true => self.cache.apart(&DeltaDiscoveryResponse::decode(bytes.as_slice()).unwrap(), refuse),
-        };
+        *asks = self.cache.take(&answer.pieces.concat(), self.refuses && answer.kind == Kind::Route);
         true
     }
 
@@ -475,7 +463,7 @@
         stream.ask(Ask { url, node, features, names, ..Ask::default() }).unwrap();
         let bytes = stream.next(&snapshot).unwrap().pieces.concat();
         let mut cache = Cache::new("old", true);
-        cache.apart(&DeltaDiscoveryResponse::decode(bytes.as_slice()).unwrap(), false);
+        cache.take(&bytes, false);
         assert_eq!(cache.inline("b1"), if within { 2 } else { 0 });
     }
 }
--- /dev/null
+++ b/crates/fixed/src/lib.rs
@@ -0,0 +1,8 @@
+//! How property tests are seeded: for tests only.
+
+use proptest::test_runner::{Config, RngSeed};
+
+/// The same cases each run, and no files left behind.
+pub fn fixed() -> Config {
+    Config { failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..Config::default() }
+}
--- a/crates/handout/src/evidence.rs
+++ b/crates/handout/src/evidence.rs
@@ -300,11 +300,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig {
-            failure_persistence: None,
-            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-            ..ProptestConfig::default()
-        })]
+        #![proptest_config(latchhaven_fixed::fixed())]
 
         #[test]
         fn whatever_is_reported_no_event_contradicts_itself(
--- a/crates/handout/src/handout.rs
+++ b/crates/handout/src/handout.rs
@@ -366,11 +366,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig {
-            failure_persistence: None,
-            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-            ..ProptestConfig::default()
-        })]
+        #![proptest_config(latchhaven_fixed::fixed())]
 
         /// Whatever the fleet looks like: each route is one whole, the trial within the cap and open only where it
         /// may be, a withdrawn build gets nothing, and each build's cold hosts no more than their budget.
--- a/crates/handout/src/ledger.rs
+++ b/crates/handout/src/ledger.rs
@@ -174,11 +174,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig {
-            failure_persistence: None,
-            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-            ..ProptestConfig::default()
-        })]
+        #![proptest_config(latchhaven_fixed::fixed())]
 
         /// Whatever was sent, accepted, refused or lost: with the rest given to all others the sum keeps the cap,
         /// wherever what is stuck leaves room for that at all.
--- a/crates/handout/src/order.rs
+++ b/crates/handout/src/order.rs
@@ -250,11 +250,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig {
-            failure_persistence: None,
-            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-            ..ProptestConfig::default()
-        })]
+        #![proptest_config(latchhaven_fixed::fixed())]
 
         #[test]
         fn a_label_tells_what_it_was_made_of(basis in basis(), content: u64, key in "[a-z]{0,9}") {
--- a/crates/handout/src/shares.rs
+++ b/crates/handout/src/shares.rs
@@ -52,11 +52,7 @@
     use rand_pcg::Pcg64Mcg;
 
     proptest! {
-        #![proptest_config(ProptestConfig {
-            failure_persistence: None,
-            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-            ..ProptestConfig::default()
-        })]
+        #![proptest_config(latchhaven_fixed::fixed())]
 
         #[test]
         fn it_grows_with_cap_free_and_traffic_and_stays_below_the_cap(
--- a/crates/handout/src/world.rs
+++ b/crates/handout/src/world.rs
@@ -223,11 +223,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig {
-            failure_persistence: None,
-            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-            ..ProptestConfig::default()
-        })]
+        #![proptest_config(latchhaven_fixed::fixed())]
 
         /// Over any news, lists and evidence the basis only ever moves on.
         #[test]
--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -1,6 +1,7 @@
 //! A crowd loses a gateway at once, in simulated time: the library's decisions beside three ways in which apps of their
 //! own come back. The same seed gives the same clients, calls and loss.
 
+use crate::agenda::Agenda;
 use clap::Args;
 use latchhaven_client::budget::Budget;
 use latchhaven_client::call::{Call, Effect, End, Moment, Next, Verdict};
@@ -9,8 +10,7 @@
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 type Ms = f64;
 
@@ -84,29 +84,6 @@
     Return,
 }
 
-struct Due {
-    at: Ms,
-    order: u64,
-    what: What,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> Ordering {
-        other.at.total_cmp(&self.at).then(other.order.cmp(&self.order))
-    }
-}
-
 #[derive(Clone, Copy)]
 enum Work {
     Handshake { client: usize, link: u64 },
@@ -162,8 +139,7 @@
 struct Crowd {
     style: Style,
     now: Ms,
-    order: u64,
-    due: BinaryHeap<Due>,
+    agenda: Agenda<What>,
     gateways: Vec<Gateway>,
     clients: Vec<ClientState>,
     calls: BTreeMap<u64, CallState>,
@@ -194,8 +170,7 @@
         let mut crowd = Crowd {
             style,
             now: 0.0,
-            order: 0,
-            due: BinaryHeap::new(),
+            agenda: Agenda::new(),
             gateways: (0..sizes.gateways).map(|_| gateway()).collect(),
             clients,
             calls: BTreeMap::new(),
@@ -211,8 +186,7 @@
     }
 
     fn push(&mut self, at: Ms, what: What) {
-        self.order += 1;
-        self.due.push(Due { at, order: self.order, what });
+        self.agenda.push(at, what);
     }
 
     fn moment(&self) -> Moment {
@@ -220,9 +194,9 @@
     }
 
     fn play(mut self, until: Ms) -> Count {
-        while let Some(due) = self.due.pop().filter(|due| due.at < until) {
-            self.now = due.at;
-            match due.what {
+        while let Some((at, what)) = self.agenda.pop(until) {
+            self.now = at;
+            match what {
                 What::Call(client) => self.call(client),
                 What::Try(call) => self.wants(call),
                 What::Look(client) => self.look(client),
@@ -399,8 +373,7 @@
                 let open =
                     self.calls.get(&call).is_some_and(|state| state.sent.is_some_and(|(_, on)| on == link));
                 // The effect comes about whether anybody still waits or not.
-                if let Some(state) = self.calls.get(&call).filter(|state| state.kind == 3) {
-                    let _ = state;
+                if self.calls.get(&call).is_some_and(|state| state.kind == 3) {
                     *self.count.effects.entry(call).or_default() += 1;
                 }
                 if open {
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -2,6 +2,7 @@
 //! themselves, and evenly over all hosts. Nothing here is a socket; the decisions, handouts, streams and caches are the
 //! project's own. The same seed gives the same day.
 
+use crate::agenda::Agenda;
 use clap::Args;
 use latchhaven::api::*;
 use latchhaven::choice::Choice;
@@ -11,16 +12,13 @@
 use latchhaven_handout::order::Labels;
 use latchhaven_standins::cache::{Cache, Wanted};
 use latchhaven_wire::terms;
-use latchhaven_xds::pb::envoy::service::discovery::v3::{DeltaDiscoveryResponse, DiscoveryResponse};
 use latchhaven_xds::resources::{Front, Snapshot, cluster_of};
-use latchhaven_xds::stream::{Ask, Stream};
-use prost::Message;
+use latchhaven_xds::stream::Stream;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -128,30 +126,6 @@
     Tick,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Due {
-    at: Ms,
-    order: u64,
-    what: What,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> Ordering {
-        other.at.total_cmp(&self.at).then(other.order.cmp(&self.order))
-    }
-}
-
 struct Txn {
     front: usize,
     product: usize,
@@ -197,8 +171,7 @@
     mode: Mode,
     rng: Pcg64Mcg,
     now: Ms,
-    order: u64,
-    due: BinaryHeap<Due>,
+    agenda: Agenda<What>,
     hosts: Vec<Host>,
     rollout: Rollout,
     txns: BTreeMap<u32, Txn>,
@@ -236,16 +209,7 @@
         let (which, how) = (rng.random_range(0..2u32), rng.random_range(1..=3u8));
         let hosts: Vec<Host> =
             (0..sizes.hosts).map(|_| Host { build: 1, since: 0.0, free: vec![0.0; WORKERS] }).collect();
-        let news = StageNews {
-            valid: true,
-            unsure: false,
-            answer: false,
-            build: 1,
-            stage: 0,
-            phase: Phase::Released,
-            cap: 1.0,
-            age: 0.0,
-        };
+        let news = StageNews::told(1, 0, Phase::Released, 1.0, 0.0);
         let bad = BTreeMap::from([(2 + which, how)]);
         let rollout = Rollout { news, at: 0.0, bad, next: 0, version: 1, caps: vec![(0.0, 1.0)] };
         let read = |me: usize, count: usize| terms::read(&settings(me, count)).expect("settings of the lab");
@@ -253,8 +217,7 @@
             mode,
             rng,
             now: 0.0,
-            order: 0,
-            due: BinaryHeap::new(),
+            agenda: Agenda::new(),
             rate: sizes.load * sizes.hosts as f64 * WORKERS as f64 / WORK,
             hosts,
             rollout,
@@ -315,8 +278,7 @@
     }
 
     fn push(&mut self, at: Ms, what: What) {
-        self.order += 1;
-        self.due.push(Due { at, order: self.order, what });
+        self.agenda.push(at, what);
     }
 
     fn tell_list(&mut self) {
@@ -608,10 +570,8 @@
         let mut again = false;
         for action in actions {
             match action {
-                Action::Submit { id, instance, limit } => {
-                    let n: usize = instance[1..].parse().expect("a host");
-                    self.send(id, n);
-                    let _ = limit;
+                Action::Submit { id, instance, .. } => {
+                    self.send(id, instance[1..].parse().expect("a host"));
                 }
                 Action::Decline { id, .. } | Action::Void { id } => {
                     self.close(id, false);
@@ -717,25 +677,13 @@
         let Some(snapshot) = &self.snapshot else { return };
         for (n, proxy) in self.proxies.iter_mut().enumerate() {
             loop {
-                for ask in proxy.asks.drain(..) {
-                    let ask = match ask {
-                        Wanted::Whole(ask) => Ask::from(ask),
-                        Wanted::Apart(ask) => Ask::from(ask),
-                    };
-                    proxy.stream.ask(ask).expect("sound requests");
-                }
+                let stream = &mut proxy.stream;
+                proxy.asks.drain(..).for_each(|ask| stream.ask(ask.into()).expect("sound requests"));
                 let answer = proxy.stream.next(snapshot);
                 core.said(n as u64, proxy.stream.said(), now);
                 let Some(answer) = answer else { break };
                 answer.trial.iter().for_each(|trial| core.sends(n as u64, trial, now));
-                let bytes = answer.pieces.concat();
-                proxy.asks = if n % 2 == 1 {
-                    proxy
-                        .cache
-                        .apart(&DeltaDiscoveryResponse::decode(bytes.as_slice()).expect("sound"), false)
-                } else {
-                    proxy.cache.whole(&DiscoveryResponse::decode(bytes.as_slice()).expect("sound"), false)
-                };
+                proxy.asks = proxy.cache.take(&answer.pieces.concat(), false);
             }
         }
     }
@@ -771,9 +719,9 @@
     }
 
     fn play(mut self, until: Ms) -> (Count, Vec<(Build, &'static str, bool)>) {
-        while let Some(due) = self.due.pop().filter(|due| due.at < until) {
-            self.now = due.at;
-            match due.what {
+        while let Some((at, what)) = self.agenda.pop(until) {
+            self.now = at;
+            match what {
                 What::Txn => self.txn(),
                 What::Done { txn, n } => self.done(txn, n),
                 What::Tick => self.tick(),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! Experiments on loopback: seeded, sizes as flags. Each prints one JSON object of figures last and ends with 1 where
 //! anything that must hold did not.
 
+mod agenda;
 mod crowd;
 mod day;
 mod xds;
--- a/crates/lab/src/xds.rs
+++ b/crates/lab/src/xds.rs
@@ -12,7 +12,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
-use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::sleep;
@@ -79,9 +78,7 @@
         match self {
             Mark::List(version) => list >= *version,
             Mark::News { build, way, stage } => {
-                let mark = NewsMark { build: *build, way: *way, stage: *stage, cap: 0, since: 0 };
-                let place = |mark: NewsMark| (mark.build, mark.way, mark.stage);
-                news.is_some_and(|held| place(held).cmp(&place(mark)) != Ordering::Less)
+                news.is_some_and(|held| (held.build, held.way, held.stage) >= (*build, *way, *stage))
             }
         }
     }
@@ -292,8 +289,7 @@
                 down = Some(Instant::now());
             }
         }
-        if let Some(at) = down.filter(|at| at.elapsed() >= Duration::from_secs(2) && back.is_none()) {
-            let _ = at;
+        if back.is_none() && down.is_some_and(|at: Instant| at.elapsed() >= Duration::from_secs(2)) {
             control = Machine::control(&file);
             back = Some(Instant::now());
             let addr = control.addr;
@@ -310,10 +306,7 @@
         }
         // What all proxies give to the build on trial, each with the same traffic.
         let build = story.build;
-        let part = |n: usize| {
-            let cache = proxies[n].cache.lock().unwrap_or_else(PoisonError::into_inner);
-            f64::from(cache.part("look", build)) / 1e6
-        };
+        let part = |n: usize| f64::from(proxies[n].cache().part("look", build)) / 1e6;
         let (stuck, rest): (f64, f64) = ((0..odd).map(part).sum(), (odd..sizes.proxies).map(part).sum());
         let count = sizes.proxies as f64;
         let (given, cap) = ((stuck + rest) / count, story.binds(build));
@@ -340,11 +333,9 @@
         (Histogram::<u64>::new(3).expect("bounds"), Histogram::<u64>::new(3).expect("bounds"));
     let mut never = 0u64;
     for decision in &decisions {
-        let service_away = [(down, back)].iter().any(|(down, back)| {
-            down.is_some_and(|down| {
-                let back = back.unwrap_or_else(Instant::now) + Duration::from_secs(5);
-                decision.at + Duration::from_secs(5) >= down && decision.at <= back
-            })
+        let service_away = down.is_some_and(|down| {
+            let back = back.unwrap_or_else(Instant::now) + Duration::from_secs(5);
+            decision.at + Duration::from_secs(5) >= down && decision.at <= back
         });
         for (n, track) in tracks.iter().enumerate() {
             let track = track.lock().unwrap_or_else(PoisonError::into_inner);
@@ -365,7 +356,7 @@
         }
     }
     let sum = |count: fn(&latchhaven_standins::cache::Cache) -> u64| -> u64 {
-        proxies.iter().map(|proxy| count(&proxy.cache.lock().unwrap_or_else(PoisonError::into_inner))).sum()
+        proxies.iter().map(|proxy| count(&proxy.cache())).sum()
     };
     let (regressions, dangling, refused) =
         (sum(|cache| cache.regressions), sum(|cache| cache.dangling), sum(|cache| cache.refused));
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -6,7 +6,7 @@
 mod script;
 
 pub use records::{Evidence, Plan, Xds};
-pub use script::Fault;
+pub use script::{Fault, line_of};
 
 use garde::Validate;
 use std::path::Path;
--- a/crates/program/src/check.rs
+++ b/crates/program/src/check.rs
@@ -1,6 +1,7 @@
 //! `check`: reads configurations as they would be read at a start, and prints each fault.
 
 use latchhaven_gateway::config;
+use latchhaven_operator::line_of;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -42,10 +43,8 @@
         Err(fault) => {
             let fault = fault.to_string();
             let text = std::fs::read_to_string(file).unwrap_or_default();
-            let key = fault.split(':').next().unwrap_or_default();
-            let last = key.rsplit('.').next().unwrap_or_default();
-            let line = text.lines().position(|line| line.contains(&format!("\"{last}\"")));
-            let line = line.map(|line| format!(":{}", line + 1)).unwrap_or_default();
+            let line = line_of(&text, fault.split(':').next().unwrap_or_default());
+            let line = line.map(|line| format!(":{line}")).unwrap_or_default();
             vec![format!("{path}{line}: {fault}")]
         }
     }
--- a/crates/program/src/demo.rs
+++ b/crates/program/src/demo.rs
@@ -92,14 +92,7 @@
     config["seed"] = json!(format!("{seed:x}"));
     config["settings"]["domain"]["caps"] = json!(CAPS);
     let (mut gateway, log, _, path) = spawn(&config.to_string());
-    let mut listening = None;
-    wire::until("the gateway listens", || {
-        let log = log.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        let line = log.iter().find_map(|line| line.split("listening=").nth(1).map(str::to_string));
-        listening = line.and_then(|rest| rest.split(' ').next().and_then(|addr| addr.parse().ok()));
-        listening.is_some()
-    });
-    let listening: SocketAddr = listening.ok_or_else(|| io::Error::other("the gateway does not listen"))?;
+    let listening = wire::listening(&log);
     let file = std::env::temp_dir().join(format!("latchhaven-demo-{}.star", std::process::id()));
     let at = SocketAddr::from(([127, 0, 0, 1], 0));
     std::fs::write(&file, plan("demo", site.list.addr, site.platform.addr, at, false, ""))?;
@@ -157,10 +150,7 @@
     counts: &Counts,
 ) -> String {
     let say = |what: &str| {
-        let parts = proxies.iter().map(|proxy| {
-            let cache = proxy.cache.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-            f64::from(cache.part("look", build)) / 1e4
-        });
+        let parts = proxies.iter().map(|proxy| f64::from(proxy.cache().part("look", build)) / 1e4);
         let parts: Vec<String> = parts.map(|part| format!("{part:.0}%")).collect();
         let (settled, failed) = (counts.settled.load(Relaxed), counts.failed.load(Relaxed));
         let at = start.elapsed().as_secs_f64();
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -72,8 +72,8 @@
 
 fn main() -> ExitCode {
     let line = Line::parse();
-    let (builder, lossy) = (NonBlockingBuilder::default().lossy(true), LOG_LINES);
-    let (log, guard) = builder.buffered_lines_limit(lossy).finish(io::stderr());
+    let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(LOG_LINES);
+    let (log, guard) = builder.finish(io::stderr());
     let level = match (line.log_level, std::env::var("LATCHHAVEN_LOG").as_deref()) {
         (Some(Wanted::Debug), _) | (None, Ok("debug")) => Level::DEBUG,
         (Some(Wanted::Warn), _) | (None, Ok("warn")) => Level::WARN,
--- a/crates/program/tests/control.rs
+++ b/crates/program/tests/control.rs
@@ -117,7 +117,7 @@
 }
 
 fn holds(proxy: &Proxy, what: impl Fn(&Cache) -> bool) -> bool {
-    what(&proxy.cache.lock().unwrap())
+    what(&proxy.cache())
 }
 
 fn ask(node: &str, kind: &str, names: usize) -> DiscoveryRequest {
--- a/crates/standins/src/cache.rs
+++ b/crates/standins/src/cache.rs
@@ -18,6 +18,7 @@
 use latchhaven_xds::pb::google::protobuf::Any;
 use latchhaven_xds::pb::google::rpc::Status;
 use latchhaven_xds::resources::{DECLINE, Kind};
+use latchhaven_xds::stream::Ask;
 use prost::Message;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -55,6 +56,15 @@
     Apart(DeltaDiscoveryRequest),
 }
 
+impl From<Wanted> for Ask {
+    fn from(wanted: Wanted) -> Ask {
+        match wanted {
+            Wanted::Whole(ask) => ask.into(),
+            Wanted::Apart(ask) => ask.into(),
+        }
+    }
+}
+
 /// What a proxy holds.
 #[derive(Clone, Debug)]
 pub struct Cache {
@@ -151,6 +161,17 @@
         })
     }
 
+    /// Takes an answer's bytes in, in the form of this proxy's streams, or refuses it; what is to be asked then.
+    ///
+    /// # Panics
+    /// Where they are no answer.
+    pub fn take(&mut self, bytes: &[u8], refuse: bool) -> Vec<Wanted> {
+        match self.incremental {
+            false => self.whole(&DiscoveryResponse::decode(bytes).expect("an answer"), refuse),
+            true => self.apart(&DeltaDiscoveryResponse::decode(bytes).expect("an answer"), refuse),
+        }
+    }
+
     /// Takes a whole answer in, or refuses it; what is to be asked then.
     pub fn whole(&mut self, answer: &DiscoveryResponse, refuse: bool) -> Vec<Wanted> {
         let Some(kind) = Kind::of(&answer.type_url) else { return Vec::new() };
--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -1,23 +1,18 @@
 //! The program as a child: started, read from, killed; its CPU and memory as the kernel counts them.
 
-use crate::wire::program;
-use std::io::{BufRead, BufReader};
+use crate::wire::{Log, listening, logged, program, until};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::sync::PoisonError;
 
 /// Ticks a second in which the kernel counts CPU time.
 const TICKS: f64 = 100.0;
-/// A program that does not say that it listens by then does not start.
-const START: Duration = Duration::from_secs(20);
 
 /// A child that is ended with its owner.
 pub struct Machine {
     child: Child,
-    log: Arc<Mutex<Vec<String>>>,
+    log: Log,
     pub addr: SocketAddr,
 }
 
@@ -29,33 +24,10 @@
     pub fn control(plan: &Path) -> Machine {
         let mut command = Command::new(program());
         command.arg("control").arg(plan).stderr(Stdio::piped()).stdout(Stdio::null());
-        #[expect(
-            clippy::zombie_processes,
-            reason = "its owner waits for it when dropped; a panic ends the lab"
-        )]
         let mut child = command.spawn().expect("the program starts");
-        let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
-        let log = Arc::new(Mutex::new(Vec::new()));
-        let filled = log.clone();
-        thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                filled.lock().unwrap_or_else(PoisonError::into_inner).push(line);
-            }
-        });
-        let start = Instant::now();
-        loop {
-            let held = log.lock().unwrap_or_else(PoisonError::into_inner);
-            let line = held.iter().find_map(|line: &String| line.split("listening=").nth(1));
-            if let Some(addr) =
-                line.and_then(|rest| rest.split(' ').next()).and_then(|addr| addr.parse().ok())
-            {
-                drop(held);
-                return Machine { child, log, addr };
-            }
-            assert!(start.elapsed() < START, "it listens: {held:?}");
-            drop(held);
-            thread::sleep(Duration::from_millis(2));
-        }
+        let (log, _) = logged(&mut child);
+        let addr = listening(&log);
+        Machine { child, log, addr }
     }
 
     /// Lines that it has logged and that hold this.
@@ -72,10 +44,7 @@
     pub fn counters(&self) -> Vec<(String, u64)> {
         let before = self.logged("counters").len();
         self.signal("USR1");
-        let start = Instant::now();
-        while self.logged("counters").len() == before && start.elapsed() < START {
-            thread::sleep(Duration::from_millis(2));
-        }
+        until("the counters are printed", || self.logged("counters").len() > before);
         let line = self.logged("counters").pop().unwrap_or_default();
         let pairs = line.split(' ').filter_map(|pair| pair.split_once('='));
         pairs.filter_map(|(name, figure)| Some((name.to_string(), figure.parse().ok()?))).collect()
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -55,7 +55,7 @@
 #[derive(Clone)]
 pub struct Proxy {
     pub number: usize,
-    pub cache: Arc<Mutex<Cache>>,
+    cache: Arc<Mutex<Cache>>,
 }
 
 impl Proxy {
@@ -94,7 +94,8 @@
         }
     }
 
-    fn cache(&self) -> std::sync::MutexGuard<'_, Cache> {
+    /// What it holds now.
+    pub fn cache(&self) -> std::sync::MutexGuard<'_, Cache> {
         self.cache.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -378,7 +378,7 @@
     /// While held, nothing that it logs is read.
     pub unread: Arc<AtomicBool>,
     pub addr: SocketAddr,
-    log: Arc<Mutex<Vec<String>>>,
+    log: Log,
     pub list: Service,
     pub platform: Service,
 }
@@ -396,7 +396,7 @@
 static STARTED: AtomicU32 = AtomicU32::new(0);
 
 /// Starts the program with a configuration; what it logs can be read as it comes.
-pub fn spawn(config: &str) -> (Child, Arc<Mutex<Vec<String>>>, Arc<AtomicBool>, String) {
+pub fn spawn(config: &str) -> (Child, Log, Arc<AtomicBool>, String) {
     let number = STARTED.fetch_add(1, SeqCst);
     let folder = std::env::temp_dir();
     let path = format!("{}/latchhaven-{}-{number}.json", folder.display(), std::process::id());
@@ -412,6 +412,15 @@
         command.env("BALANCER_DISCOVERY", at);
     }
     let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+    let (log, unread) = logged(&mut child);
+    (child, log, unread, path)
+}
+
+/// Lines as a child has logged them so far.
+pub type Log = Arc<Mutex<Vec<String>>>;
+
+/// Reads what a child logs, and holds that while the flag is set.
+pub fn logged(child: &mut Child) -> (Log, Arc<AtomicBool>) {
     let (log, lines) =
         (Arc::new(Mutex::new(Vec::new())), BufReader::new(child.stderr.take().unwrap()).lines());
     let (filled, unread) = (log.clone(), Arc::new(AtomicBool::new(false)));
@@ -424,7 +433,20 @@
             }
         }
     });
-    (child, log, unread, path)
+    (log, unread)
+}
+
+/// Where a child says that it listens, once it does.
+pub fn listening(log: &Log) -> SocketAddr {
+    let mut addr = None;
+    until("the program listens", || {
+        let log = log.lock().unwrap();
+        let told =
+            log.iter().find_map(|line| line.split("listening=").nth(1)?.split(' ').next()?.parse().ok());
+        addr = told;
+        told.is_some()
+    });
+    addr.expect("told")
 }
 
 impl Gateway {
@@ -444,16 +466,8 @@
         let mut config = config(&hosts, list.addr, platform.addr);
         change(&mut config);
         let (child, log, unread, path) = spawn(&config.to_string());
-        let mut addr = None;
-        until("the gateway listens", || {
-            let log = log.lock().unwrap();
-            let line = log.iter().find(|line| line.contains("gateway starts"));
-            let found =
-                line.and_then(|line| line.split("listening=").nth(1)?.split(' ').next()?.parse().ok());
-            addr = found;
-            found.is_some()
-        });
-        Gateway { child, config, path, unread, addr: addr.unwrap(), log, list, platform }
+        let addr = listening(&log);
+        Gateway { child, config, path, unread, addr, log, list, platform }
     }
 
     /// As [`Self::start_with`], once the list is watched.
--- a/crates/xds/src/admission.rs
+++ b/crates/xds/src/admission.rs
@@ -131,11 +131,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig {
-            failure_persistence: None,
-            rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-            ..ProptestConfig::default()
-        })]
+        #![proptest_config(latchhaven_fixed::fixed())]
 
         #[test]
         fn never_more_than_the_most_nor_faster_than_the_rate(
--- a/crates/xds/tests/model.rs
+++ b/crates/xds/tests/model.rs
@@ -7,11 +7,9 @@
 use latchhaven_handout::order::Labels;
 use latchhaven_handout::world::World;
 use latchhaven_standins::cache::{Cache, Wanted};
-use latchhaven_xds::pb::envoy::service::discovery::v3::{DeltaDiscoveryResponse, DiscoveryResponse};
 use latchhaven_xds::resources::{Front, Kind, Snapshot};
-use latchhaven_xds::stream::{Answer, Ask, Said, Stream};
+use latchhaven_xds::stream::{Answer, Said, Stream};
 use proptest::prelude::*;
-use prost::Message;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -160,11 +158,7 @@
     fn ask(&mut self, services: &mut [Service], now: Ms) {
         let Some((to, stream, asks, _)) = &mut self.stream else { return };
         let Some(ask) = asks.pop_front() else { return };
-        let ask = match ask {
-            Wanted::Whole(ask) => Ask::from(ask),
-            Wanted::Apart(ask) => Ask::from(ask),
-        };
-        stream.ask(ask).expect("a sound proxy");
+        stream.ask(ask.into()).expect("a sound proxy");
         for said in stream.said() {
             if let Said::Holds { label, .. } = said {
                 services[*to].world.evidence(&label, now);
@@ -185,35 +179,15 @@
     fn take(&mut self, refuse: bool) {
         let Some((_, _, asks, answers)) = &mut self.stream else { return };
         let Some(answer) = answers.pop_front() else { return };
-        let bytes = answer.pieces.concat();
-        asks.extend(match self.cache.incremental() {
-            false => self.cache.whole(&DiscoveryResponse::decode(bytes.as_slice()).unwrap(), refuse),
-            true => self.cache.apart(&DeltaDiscoveryResponse::decode(bytes.as_slice()).unwrap(), refuse),
-        });
+        asks.extend(self.cache.take(&answer.pieces.concat(), refuse));
         assert_eq!(self.cache.regressions, 0, "a state went back");
-        assert_eq!(
-            self.cache.dangling,
-            0,
-            "{:?} dangles {:?} DUMP {:?}",
-            self.cache.dangles(),
-            answer,
-            self.cache
-        );
+        assert_eq!(self.cache.dangling, 0, "{:?} dangles in {:?}", self.cache.dangles(), self.cache);
     }
 }
 
 fn play(steps: Vec<(u8, u8, usize, bool)>, apart: bool) {
     let labels = Labels::new(Some(b"site".to_vec()));
-    let news = StageNews {
-        valid: true,
-        unsure: false,
-        answer: false,
-        build: 1,
-        stage: 0,
-        phase: Phase::Released,
-        cap: 1.0,
-        age: 0.0,
-    };
+    let news = StageNews::told(1, 0, Phase::Released, 1.0, 0.0);
     let mut moments =
         vec![Moment { news, hosts: vec![(1, true); 4], version: 1, at: 10_000.0, since: 9_000.0 }];
     let mut services = [Service::new(), Service::new()];
@@ -306,10 +280,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 100,
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-        ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 100, ..latchhaven_fixed::fixed() })]
 
     #[test]
     fn nothing_goes_back_or_dangles_and_all_converge(
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -599,10 +599,8 @@
                 let (count, part) = (count as f64, failed as f64 / count as f64);
                 self.fleet.seen(*i, count, part, now, &mut self.desk.out);
                 let left = took.map_or(0.0, |took| 1.0 - took / known.sla);
-                let service = &mut self.desk.all_service;
-                service.fade(now, SHED_HALF);
-                service.came += count;
-                service.good += count * (1.0 - part) * (left / GOOD_LEFT).clamp(0.0, 1.0);
+                let good = (1.0 - part) * (left / GOOD_LEFT).clamp(0.0, 1.0);
+                self.desk.all_service.note(now, SHED_HALF, count, good);
             }
             Event::Timer { .. } | Event::Probed { .. } => {}
         }
@@ -726,8 +724,7 @@
         let (tenant, count) = (txn.tenant.clone(), txn.submissions.len());
         if !std::mem::replace(&mut txn.answered, true) && txn.came >= self.desk.stalled && count > 0 {
             for service in self.desk.services(&tenant) {
-                service.fade(now, SHED_HALF);
-                (service.came, service.good) = (service.came + 1.0, service.good + good);
+                service.note(now, SHED_HALF, 1.0, good);
             }
         }
         (0..count).for_each(|n| self.recall(id, n));
--- a/src/state.rs
+++ b/src/state.rs
@@ -387,6 +387,12 @@
         let share = 0.5f64.powf((now - self.at) / half);
         (self.came, self.good, self.at) = (self.came * share, self.good * share, now);
     }
+
+    /// Notes so many txns of which this part was served well.
+    pub fn note(&mut self, now: Ms, half: Ms, count: f64, good: f64) {
+        self.fade(now, half);
+        (self.came, self.good) = (self.came + count, self.good + count * good);
+    }
 }
 
 /// Submissions counted by the platform: all, failed, mean time of the others.
