--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -210,6 +210,8 @@
                         // Both would tell the same, and the earlier one later.
                         self.leaving.take_if(|_| new).inspect(|(_, earlier)| earlier.abort());
                         COUNTERS.list_changes.add();
+                        let (version, whole, entries) = (list.version, list.whole, list.entries.len());
+                        tracing::debug!(version, whole, entries, "list: told");
                         let event = self.listed(list_kind(list.whole), list);
                         events.push(event);
                     }
@@ -228,6 +230,7 @@
             }
             Note::Tally(tally) => {
                 COUNTERS.tallies_told.add();
+                tracing::debug!(?tally, "platform: tally");
                 events.push(Event::Tally {
                     build: tally.build,
                     product: tally.product,
@@ -264,6 +267,7 @@
             return stage;
         }
         COUNTERS.states_told.add();
+        tracing::debug!(?stage, "platform: state");
         let now = self.clock.now();
         let since = now - stage.age;
         let said = |news: &StageNews| (news.build, news.stage, news.phase, news.cap);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::net::clients::Clients;
 use crate::net::servers::Pool;
 use crate::net::{CLIENTS_OF_EIGHT, KEPT, LAST_ACCEPTS, NOTES_HELD, Note, VOTES_HELD, platform};
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::io;
 use std::net::SocketAddr;
@@ -30,11 +30,12 @@
     socket.listen(BACKLOG)
 }
 
-/// Serves until SIGTERM or SIGINT, within a `LocalSet` on a runtime of one thread.
+/// Serves until SIGTERM or SIGINT, within a `LocalSet` on a runtime of one thread. `counted`: so often the counters are
+/// logged unasked, at the first time after a part of it that the seed draws, lest hundreds of gateways log at once.
 ///
 /// # Errors
 /// A faulty configuration, a listener that cannot be had, or an end of the gateway that nobody asked for.
-pub async fn serve() -> io::Result<()> {
+pub async fn serve(counted: Option<Duration>) -> io::Result<()> {
     let clock = Clock::start();
     // Before anything that takes time: unheeded, each of these would end the process.
     let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
@@ -89,7 +90,12 @@
         sleep(LAST_ACCEPTS).await;
     };
     let printing = async {
-        while asked.recv().await.is_some() {
+        let mut wait = counted.map(|every| every.mul_f64(rng.random::<f64>()));
+        loop {
+            select! {
+                Some(()) = asked.recv() => {}
+                () = sleep(wait.unwrap_or_default()), if wait.is_some() => wait = counted,
+            }
             tracing::info!("counters: {COUNTERS}");
         }
     };
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -28,6 +28,9 @@
     /// From which level on lines are written; LATCHHAVEN_LOG holds where this is not given.
     #[arg(long, global = true, value_enum)]
     log_level: Option<Wanted>,
+    /// A gateway logs its counters every so many seconds, as on SIGUSR1; not at all where this is not given.
+    #[arg(long, value_name = "SECONDS", value_parser = clap::value_parser!(u32).range(1..), global = true)]
+    counters_every: Option<u32>,
     #[command(subcommand)]
     word: Option<Word>,
 }
@@ -85,7 +88,10 @@
         Format::Json => told.json().flatten_event(true).init(),
     }
     let ended = match line.word {
-        None | Some(Word::Serve) => on_one_thread(serve()).map(|()| ExitCode::SUCCESS),
+        None | Some(Word::Serve) => {
+            let counted = line.counters_every.map(|seconds| Duration::from_secs(seconds.into()));
+            on_one_thread(serve(counted)).map(|()| ExitCode::SUCCESS)
+        }
         Some(Word::Control { file }) => control(&file),
         Some(Word::Check { files, schema }) => Ok(check::check(&files, schema)),
         Some(Word::Demo { seed }) => demo::demo(seed),
