--- a/src/choice.rs
+++ b/src/choice.rs
@@ -228,8 +228,6 @@
             if trial.is_some() && trial != self.watched {
                 self.watched = trial;
                 (self.flags, self.answers, self.weighed) = Default::default();
-                // What was counted of the build watched before, and not weighed yet, is not this one's.
-                self.tallies.fill(Default::default());
             }
             self.before = s.pooled();
             self.load_before = load;
