--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -210,8 +210,7 @@
                         // Both would tell the same, and the earlier one later.
                         self.leaving.take_if(|_| new).inspect(|(_, earlier)| earlier.abort());
                         COUNTERS.list_changes.add();
-                        let (version, whole, entries) = (list.version, list.whole, list.entries.len());
-                        tracing::debug!(version, whole, entries, "list: told");
+                        tracing::debug!(list.version, list.whole, entries = list.entries.len(), "list: told");
                         let event = self.listed(list_kind(list.whole), list);
                         events.push(event);
                     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -90,19 +90,23 @@
         sleep(LAST_ACCEPTS).await;
     };
     let printing = async {
-        let mut wait = counted.map(|every| every.mul_f64(rng.random::<f64>()));
+        while asked.recv().await.is_some() {
+            tracing::info!("counters: {COUNTERS}");
+        }
+    };
+    let counting = async {
+        let Some(every) = counted else { return std::future::pending().await };
+        sleep(every.mul_f64(rng.random())).await;
         loop {
-            select! {
-                Some(()) = asked.recv() => {}
-                () = sleep(wait.unwrap_or_default()), if wait.is_some() => wait = counted,
-            }
             tracing::info!("counters: {COUNTERS}");
+            sleep(every).await;
         }
     };
     select! {
         () = stopping => {}
         () = clients.clone().accept(&listener) => {}
         () = printing => {}
+        () = counting => {}
         ended = &mut gateway => return Err(io::Error::other(format!("the gateway ended: {ended:?}"))),
     }
     clients.accept_rest(&listener);
--- a/crates/program/tests/stories.rs
+++ b/crates/program/tests/stories.rs
@@ -879,6 +879,24 @@
     }
 }
 
+#[test]
+fn counters_are_logged_unasked_where_wanted() {
+    let nobody = "127.0.0.1:9".parse().unwrap();
+    let path = std::env::temp_dir().join(format!("latchhaven-counted-{}.json", std::process::id()));
+    std::fs::write(&path, config(&[], nobody, nobody).to_string()).unwrap();
+    let start = |every: &str| {
+        let mut command = std::process::Command::new(program());
+        command.args(["--counters-every", every]).env_clear().env("BALANCER_CONFIG", &path);
+        command.stderr(std::process::Stdio::piped()).spawn().unwrap()
+    };
+    let mut counted = start("1");
+    let (log, _) = logged(&mut counted);
+    let lines = || log.lock().unwrap().iter().filter(|line| line.contains("counters: txns=0")).count();
+    until("they are logged again and again", || lines() >= 2);
+    counted.kill().unwrap();
+    assert_eq!(start("0").wait().unwrap().code(), Some(2));
+}
+
 #[test]
 fn a_file_that_is_no_json_ends_the_start_and_unknown_keys_do_not() {
     ends_with("{\"name\": ", "BALANCER_CONFIG");
