A stream of a stand-in misses no change that is made while it begins

The stand-in of discovery made a stream's answer (wire.rs, Service::start), and only then put the stream among those that are told. A change made in between (Site::change) was neither in the answer nor told, and the stand-in, unlike the real one, never tells again.

Ruled out: the control service, which heard nothing of that change.

Change: a stream begins under the lock of the open streams, and a change of state is made and told under the same lock (tell_made). A test of the stand-in tells a line while an answer is being made.

--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -80,23 +80,29 @@
 
     /// Replaces or adds hosts; `removed` ones are told and leave the list.
     pub fn change(&self, hosts: &[Value]) -> u64 {
-        let mut state = self.held();
-        state.version += 1;
-        for host in hosts {
-            state.hosts.retain(|held| held["host"] != host["host"]);
-            if host["health"] != "removed" {
-                state.hosts.push(host.clone());
+        let mut version = 0;
+        self.list.tell_made(|| {
+            let mut state = self.held();
+            state.version += 1;
+            for host in hosts {
+                state.hosts.retain(|held| held["host"] != host["host"]);
+                if host["health"] != "removed" {
+                    state.hosts.push(host.clone());
+                }
             }
-        }
-        self.list.tell(&json!({"seq": state.version, "whole": false, "hosts": hosts}));
-        state.version
+            version = state.version;
+            json!({"seq": version, "whole": false, "hosts": hosts})
+        });
+        version
     }
 
     /// Tells another state of the newest build.
     pub fn rollout(&self, build: u32, stage: u32, status: &str, cap: f64) {
-        let mut state = self.held();
-        (state.news, state.since) = (crate::wire::state(build, stage, status, cap), Instant::now());
-        self.platform.tell(&json!({"type": "ROLLOUT", "object": state.news()}));
+        self.platform.tell_made(|| {
+            let mut state = self.held();
+            (state.news, state.since) = (crate::wire::state(build, stage, status, cap), Instant::now());
+            json!({"type": "ROLLOUT", "object": state.news()})
+        });
     }
 
     /// Tells a tally.
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -274,14 +274,18 @@
         let (said, noted, kept) = (says.clone(), calls.clone(), streams.clone());
         let addr = listen(move |mut stream, _| {
             while let Some((line, body)) = read_call(&mut stream) {
+                // Held from the answer to the stream's place among those that are told: a change made in
+                // between would be neither in the answer nor told.
+                let mut streams = kept.lock().unwrap();
                 let says = said.lock().unwrap()(&line);
                 let text = if let Says::Bytes(text) | Says::Last(text) = &says { text.as_str() } else { "" };
                 if stream.write_all(text.as_bytes()).is_err() {
                     return;
                 }
                 if text.starts_with(STREAM) {
-                    kept.lock().unwrap().push(stream.try_clone().unwrap());
+                    streams.push(stream.try_clone().unwrap());
                 }
+                drop(streams);
                 noted.lock().unwrap().push((line, body));
                 if matches!(says, Says::Last(_)) {
                     let _ = stream.shutdown(Shutdown::Both);
@@ -298,12 +302,24 @@
 
     /// Writes to all open streams.
     pub fn write(&self, text: &str) {
-        self.streams.lock().unwrap().retain_mut(|stream| stream.write_all(text.as_bytes()).is_ok());
+        self.write_made(|| text.to_string());
     }
 
     /// Writes one line to all open streams.
     pub fn tell(&self, line: &Value) {
-        self.write(&chunk(&format!("{line}\n")));
+        self.tell_made(|| line.clone());
+    }
+
+    /// Writes one line to all open streams, made while none can begin: a stream that begins later is answered
+    /// from the state that the line tells of.
+    pub fn tell_made(&self, line: impl FnOnce() -> Value) {
+        self.write_made(|| chunk(&format!("{}\n", line())));
+    }
+
+    fn write_made(&self, text: impl FnOnce() -> String) {
+        let mut streams = self.streams.lock().unwrap();
+        let text = text();
+        streams.retain_mut(|stream| stream.write_all(text.as_bytes()).is_ok());
     }
 
     /// True where the gateway has ended all streams.
@@ -600,3 +616,32 @@
     });
     found.unwrap_or_else(|| Err(format!("neither row nor error in {answer:?}")))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::sync::mpsc;
+
+    /// The stream's place is taken slowly here, so that the line is told while its answer is being made.
+    #[test]
+    fn a_line_told_while_a_stream_begins_reaches_it() {
+        let (answering, answered) = mpsc::channel();
+        let service = Service::start(move |_| {
+            answering.send(()).unwrap();
+            thread::sleep(Duration::from_millis(50));
+            Says::Bytes(STREAM.to_string())
+        });
+        let mut stream = TcpStream::connect(service.addr).unwrap();
+        stream.write_all(b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+        answered.recv().unwrap();
+        service.tell(&json!({"seq": 7}));
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        let mut read = Vec::new();
+        until("the line comes", || {
+            let mut piece = [0; 512];
+            let count = stream.read(&mut piece).unwrap();
+            read.extend(&piece[..count]);
+            String::from_utf8_lossy(&read).contains("\"seq\":7")
+        });
+    }
+}
