--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -537,6 +537,24 @@
     assert!(host.settled.len() > 250 && slow * 10 < host.settled.len(), "{slow} of {}", host.settled.len());
 }
 
+#[rstest]
+#[case::a_gateway_of_little_traffic(10)]
+#[case::of_much(2)]
+fn once_a_jam_is_over_nothing_more_is_declined_for_it(#[case] every: usize) {
+    // For four seconds nobody answers within the SLA time, then all as well as before.
+    let jammed = |sent: &Sent| (103_000.0..107_000.0).contains(&sent.at);
+    let behave = move |sent: &Sent| if jammed(sent) { (Ending::NoAnswer, 500.0) } else { well(sent) };
+    let mut host = Host::with(Terms::default(), 4, behave);
+    host.serve(3000.0, every);
+    assert!(host.answers.is_empty(), "declined with no cause");
+    host.serve(4000.0, every);
+    let declined = |host: &Host, from: Ms| host.answers.values().filter(|told| told[0].0 >= from).count();
+    assert!(declined(&host, 105_000.0) * 2 * every > 100, "a jam is not fed");
+    host.serve(5000.0, every);
+    let still = declined(&host, 109_500.0) * every;
+    assert!(still <= 10, "{still} of 250 are declined 2.5 to 5 s after the jam");
+}
+
 #[rstest]
 fn a_restarted_gateway_serves_from_its_old_list_and_asks_for_the_new() {
     let mut host = Host::new(Terms::default());
