--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -555,6 +555,21 @@
     assert!(still <= 10, "{still} of 250 are declined 2.5 to 5 s after the jam");
 }
 
+#[test]
+fn in_a_lasting_jam_a_gateway_of_little_traffic_sends_little() {
+    let (mut came, mut sent) = (0, 0);
+    for seed in 0..10 {
+        let jammed = |sent: &Sent| if sent.at > 103_000.0 { (Ending::NoAnswer, 500.0) } else { well(sent) };
+        let mut host = Host::with(Terms { seed, ..Terms::default() }, 4, jammed);
+        host.serve(6000.0, 10);
+        let before = host.txn("look", None);
+        host.serve(5000.0, 10);
+        came += host.txn("look", None) - before - 1;
+        sent += host.sent.iter().filter(|sent| sent.id > before && sent.n == 0).count() as u32;
+    }
+    assert!(sent * 5 < came, "{sent} of {came} are sent to where none is served");
+}
+
 #[rstest]
 fn a_restarted_gateway_serves_from_its_old_list_and_asks_for_the_new() {
     let mut host = Host::new(Terms::default());
