The test of a dead service waits for what a proxy holds, not for a version

The test waited until the endpoints of each proxy had the version of the change. A proxy that takes hosts apart is sent what it does not hold; one that was killed off at "draining" (list 20) and came back once the list said "draining" again (24) held just that, and was rightly sent nothing: its clusters were at 24, its endpoints at 20, for good.

Ruled out: the service's list (handed out at 22 to 24), admission, the feed.

--- a/crates/program/tests/control.rs
+++ b/crates/program/tests/control.rs
@@ -67,15 +67,15 @@
         (proxy, orders)
     }
 
-    /// The proxy hears of a change that is made now.
+    /// The proxy hears of a change that is made now. What it holds tells, not a version: one that came back holding
+    /// just what is handed out is rightly sent nothing. One of the two states it does not hold yet.
     fn serves(&self, proxy: &Proxy) {
         let addr = SocketAddr::from(([127, 0, 0, 9], 5000));
         for health in ["draining", "up"] {
-            let version = self.site.change(&[host("s0", addr, health, 1)]);
+            self.site.change(&[host("s0", addr, health, 1)]);
             until("the proxy hears of a change", || {
-                holds(proxy, |cache| {
-                    cache.basis(Kind::Endpoint).is_some_and(|basis| basis.list.version >= version)
-                })
+                let held = |cache: &Cache| cache.hosts("b1/pay").0.into_iter().find(|host| host.addr == addr);
+                holds(proxy, |cache| held(cache).is_some_and(|host| host.healthy == (health == "up")))
             });
         }
     }
