Failures common to old and new in all tallies judge a build; few own errors do not alone

Ruled out: the time limit on the vote and the platform, which took each vote within 0.5 s.

At fault: Judge::weigh_tallies, which left out what fails old and new alike, and Judge::judge, which took one gateway's errors and paces for evidence against all tallies. Change: the newest tallies are held against the time before, once the trial answers a fifth and no more txns come for each ready instance, unless as many failed while it carried less; own errors and the pace of all do not count where tallies show neither.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,8 @@
 const FAULT_MARGIN: f64 = 1.5; // times the others' share of errors and flags that chance and peeking allow
 const CLUSTERS: f64 = 3.0; // failures in tallies that come as one: in time, and on few sick machines
 const COLLAPSE: f64 = 0.2; // share of failures on top of those before the trial that no good build costs
+const COMMON: f64 = 0.1; // share of failures of all builds on top of those before that a trial is blamed for
+const CARRIES: f64 = 0.2; // share of the tallied txns from which a trial can harm all servers
 const MOST_FAULTS: f64 = 1e4; // failures that are weighed at most: more tell nothing new
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
 const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: costs little
@@ -189,14 +191,22 @@
 
     /// Adds the new tallies, trial against earlier within each period and product: neither their mix counts
     /// nor what comes over the whole fleet.
-    fn weigh_tallies(&mut self, warmth: f64, full: bool) {
+    fn weigh_tallies(&mut self, warmth: f64, full: bool, ready: f64) {
         let calm = self.trial.is_none() && self.released.is_none();
+        let (mut all, mut expected, mut carried) = (Count::default(), 0.0, 0.0);
         for (product, [old, new]) in self.tallies.iter_mut().enumerate() {
             let (old, new) = (std::mem::take(old), std::mem::take(new));
             let (usual, time) = (&mut self.tallied_before[product], &mut self.time_before[product]);
             if calm && old.count > 0.0 {
                 usual.follow(1.0 - NEWEST, old.count, old.failed / old.count);
                 time.follow(1.0 - NEWEST, old.served(), old.time);
+                self.load_tallied[product].follow(1.0 - NEWEST, 1.0, old.count / ready);
+            }
+            let mut both = old;
+            both.add(new.count, new.failed, new.time);
+            if both.count / ready <= LOADED * self.load_tallied[product].mean {
+                all.add(both.count, both.failed, both.time / time.mean.max(1.0));
+                (expected, carried) = (expected + (usual.mean + COMMON) * both.count, carried + new.count);
             }
             self.tallied += new.count;
             self.answers = [self.answers[0] + old.served(), self.answers[1] + new.served()];
@@ -215,6 +225,14 @@
                 self.weighed.pace.merge(&Arm { count, mean, squares: count });
             }
         }
+        if all.count < LEAST_OUTCOMES {
+            return;
+        }
+        self.lag = all.time.ln();
+        // What fails old and new alike is a build's doing once it carries much, unless it failed so before.
+        let (ill, small) = (all.failed > expected, carried < CARRIES * all.count);
+        self.excused = ill && (small || self.excused);
+        self.common = if ill && !self.excused { [expected, all.failed] } else { [0.0; 2] };
     }
 
     /// Fades what is old; begins all arms together when a build comes on trial, lest earlier trouble count.
@@ -227,7 +245,7 @@
             (self.trial, self.sure_since, self.rehearsed) = (trial, None, None);
             if trial.is_some() && trial != self.watched {
                 self.watched = trial;
-                (self.flags, self.answers, self.weighed) = Default::default();
+                (self.flags, self.answers, self.weighed, self.common) = Default::default();
             }
             self.before = s.pooled();
             self.load_before = load;
@@ -243,7 +261,8 @@
             (self.stage, self.tallied) = ((news.build, news.stage), 0.0);
             self.weighed.fade(STAGE_KEPT);
         }
-        self.weigh_tallies(sight.warmth, news.cap >= 1.0);
+        let ready = (sight.trial.len() + sight.earlier.len()).max(1) as f64;
+        self.weigh_tallies(sight.warmth, news.cap >= 1.0, ready);
         let newest = sight.trial.iter().map(|i| s.since[*i]).fold(0.0, f64::max);
         let (trial, earlier) = (&sight.trial, &sight.earlier);
         (self.judged, self.alone) = (now, earlier.is_empty());
@@ -258,14 +277,18 @@
         let old = |kind: usize| Arm::pool(&s.arms[kind], earlier, None);
         let count = Arm::pool(&s.arms[SCORE], trial, None).count;
         let faults = Self::faults(&s.arms[RIGHT], trial, earlier, self.before[RIGHT]);
-        found.extend(on_trial.then_some((faults, of_own, "own errors and flags")));
+        // Some sick machines are no bad build: few own errors tell nothing where tallies see no more than usual.
+        let tallied = self.answers[1] >= LEAST_OUTCOMES;
+        let vouched = tallied && self.weighed.failed < self.weighed.expected;
+        found.extend((on_trial && !vouched).then_some((faults, of_own, "own errors and flags")));
         // A build may slow all servers, old and new: then only the time before it came compares.
         let all = Arm::pool(&s.arms[PACE], if earlier.is_empty() { trial } else { earlier }, None);
         // More txns for each that answers, by a burst or where some are lost, slow them all as well.
         let sound = self.before[PACE].mean > -PACE_MARGIN;
         let alike = on_trial && sound && !trial.is_empty() && sight.load <= LOADED * self.load_before;
         let slower = Self::pi(rng, &self.before[PACE], &all, PACE_MARGIN);
-        found.extend(alike.then_some((slower, of_own, "pace of all")));
+        let blamed = alike && !self.excused && !(tallied && self.lag < PACE_MARGIN / 2.0);
+        found.extend(blamed.then_some((slower, of_own, "pace of all")));
         self.dragged = alike && Self::pi(rng, &self.before[PACE], &all, PACE_MARGIN / 2.0) > DOUBT;
         if on_trial && !full {
             let score = Self::pi_by(rng, &s.arms[SCORE], trial, &old(SCORE), 0.0);
@@ -277,6 +300,8 @@
         if on_trial || self.released.is_some() {
             let expected = FAULT_MARGIN * self.weighed.expected / CLUSTERS;
             found.push((Self::rare(expected, self.weighed.failed / CLUSTERS), of_all, "tallies"));
+            let [expected, failed] = self.common.map(|sum| sum / CLUSTERS);
+            found.push((Self::rare(FAULT_MARGIN * expected, failed), of_all, "common failures"));
             let even = Arm { count: 1e6, mean: 0.0, squares: 0.0 };
             let pace = Self::pi(rng, &even, &self.weighed.pace, PACE_MARGIN);
             found.push((pace, of_all, "times in tallies"));
--- a/src/state.rs
+++ b/src/state.rs
@@ -316,6 +316,14 @@
     pub tallied_before: Vec<Arm>,
     /// Mean time of an answer then.
     pub time_before: Vec<Arm>,
+    /// Tallied at each instance in a period then.
+    pub load_tallied: Vec<Arm>,
+    /// Failures of all builds in the newest tallies that the trial is blamed for: those expected, and those that were.
+    pub common: [f64; 2],
+    /// They were there before it carried much.
+    pub excused: bool,
+    /// Log of how many times longer all answers took just now than before the trial.
+    pub lag: f64,
     /// Counted at the present stage; what was weighed.
     pub stage: (Build, u32),
     pub tallied: f64,
@@ -509,9 +517,19 @@
 
     pub fn new(terms: VoteTerms, delta: f64, voters: f64, products: usize) -> Self {
         let base = vec![Arm::default(); products];
-        let (tallied_before, time_before) = (base.clone(), base.clone());
+        let (tallied_before, time_before, load_tallied) = (base.clone(), base.clone(), base.clone());
         let tallies = vec![Default::default(); products];
-        Judge { terms, delta, voters, base, tallied_before, time_before, tallies, ..Judge::default() }
+        Judge {
+            terms,
+            delta,
+            voters,
+            base,
+            tallied_before,
+            time_before,
+            load_tallied,
+            tallies,
+            ..Judge::default()
+        }
     }
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -279,8 +279,10 @@
     let mut host = Host::with(Terms { seed, gateways: 300, ..Terms::default() }, 20, behave);
     host.stage(1, 2, Phase::Released, 1.0);
     host.serve(4000.0, 40);
-    (0..4).for_each(|_| host.tally(1, 100, 2, 60.0));
-    host.serve(500.0, 40);
+    for _ in 0..4 {
+        host.tally(1, 100, 2, 60.0);
+        host.serve(250.0, 40);
+    }
     host.start(&["a30", "b31"], 2);
     host.stage(2, if cap < 1.0 { 1 } else { 2 }, Phase::OnTrial, cap);
     host
@@ -315,6 +317,56 @@
     assert_eq!(host.voted(2, Verdict::Back), bad);
 }
 
+/// Failures of old and new alike, in tallies of all gateways; each period by its trial's and its others' counts.
+#[rstest]
+#[case::from_the_larger_share_on([(12, 0, 88, 2), (12, 0, 88, 2), (30, 15, 70, 35), (30, 15, 70, 35)], true)]
+#[case::they_were_there_before([(12, 0, 88, 2), (6, 3, 94, 47), (30, 15, 70, 35), (30, 15, 70, 35)], false)]
+#[case::over_and_then_again([(6, 3, 94, 47), (12, 0, 88, 2), (30, 15, 70, 35), (30, 15, 70, 35)], true)]
+#[case::more_came([(12, 0, 88, 2), (12, 0, 88, 2), (60, 30, 140, 70), (60, 30, 140, 70)], false)]
+#[case::too_few([(12, 0, 88, 2), (12, 0, 88, 2), (30, 3, 70, 7), (30, 3, 70, 7)], false)]
+#[case::it_carries_little([(12, 0, 88, 2), (12, 0, 88, 2), (12, 6, 88, 44), (12, 6, 88, 44)], false)]
+fn what_fails_all_is_laid_to_a_build_that_carries_much_and_not_where_it_did_before(
+    #[case] periods: [(u64, u64, u64, u64); 4], #[case] bad: bool,
+) {
+    let mut host = one_of_many(7, 0.5, well);
+    host.serve(4000.0, 40);
+    for (new, failed, old, old_failed) in periods {
+        host.tally(2, new, failed, 60.0);
+        host.tally(1, old, old_failed, 60.0);
+        host.serve(2000.0, 40);
+    }
+    host.run(20_000.0);
+    let log: Vec<_> = host.all.iter().filter(|(_, action)| matches!(action, Action::Log(_))).collect();
+    assert_eq!(host.voted(2, Verdict::Back), bad, "{log:?}");
+}
+
+/// Two of four machines of the trial are sick, and this gateway happens to meet them.
+#[rstest]
+#[case::tallies_see_no_more_than_usual(Some(0), false)]
+#[case::tallies_see_them_too(Some(10), true)]
+#[case::no_tallies(None, true)]
+fn own_errors_tell_of_a_build_where_tallies_do_not_see_otherwise(
+    #[case] failed: Option<u64>, #[case] bad: bool,
+) {
+    let behave = |sent: &Sent| match sent.instance.as_str() {
+        "a7" | "b8" => every(2, sent, Ending::Error),
+        _ => well(sent),
+    };
+    let mut host = Host::with(Terms::default(), 8, behave);
+    host.stage(1, 2, Phase::Released, 1.0);
+    host.serve(4000.0, 4);
+    host.start(&["a7", "b8", "a9", "b10"], 2);
+    host.stage(2, 1, Phase::OnTrial, 0.5);
+    for _ in 0..40 {
+        if let Some(failed) = failed {
+            host.tally(2, 40, failed, 60.0);
+            host.tally(1, 80, 1, 60.0);
+        }
+        host.serve(250.0, 4);
+    }
+    assert_eq!(host.voted(2, Verdict::Back), bad);
+}
+
 #[rstest]
 #[case::told_of_the_trial(false, 2, true)]
 #[case::told_of_both(false, 1, false)]
