The test of hundreds of rude clients lets one that is turned away come again

Seen with the first answer printed: 53300, "too many connections". A connection makes room only after 50 ms of silence (CLIENT_SILENT_LEAST); on an idle machine all 200 come within them, so that the usual client is rightly turned away. Ruled out: the choice, whose text does not matter here.

--- a/crates/program/tests/stories.rs
+++ b/crates/program/tests/stories.rs
@@ -510,11 +510,20 @@
     let gateway = Gateway::start_with(&[&server], |config| config["limits"]["sockets"] = json!(64));
     let mut rude: Vec<Client> = (0..200).map(|_| Client::connect(gateway.addr)).collect();
     rude.iter_mut().for_each(|client| drop(client.0.write_all(b"\0\0\0")));
-    // There are seats for 8: whoever is there without asking makes room.
+    // There are seats for 8: whoever has been there for 50 ms without asking makes room. Where all came just now, a
+    // client is turned away, by an error that says so, and comes again.
     let mut usual = Client::connect(gateway.addr);
-    usual.send(&[startup(), query(&select("a1", "look", 1900))].concat());
-    usual.answer();
-    assert_eq!(outcome(&usual.answer()), Ok("a1".to_string()));
+    until("a usual client is served", || {
+        usual.send(&[startup(), query(&select("a1", "look", 1900))].concat());
+        let first = usual.answer();
+        let turned_away = outcome(&first) == Err("53300".to_string());
+        if turned_away {
+            usual = Client::connect(gateway.addr);
+        } else {
+            assert_eq!(outcome(&usual.answer()), Ok("a1".to_string()), "{first:?}");
+        }
+        !turned_away
+    });
     until("the others are let go", || gateway.counter("clients_let_go") > 100);
     assert_eq!(outcome(&usual.ask(&select("a2", "look", 900))), Ok("a2".to_string()));
 }
