Tallies compare from the trial's mean capacity on, and tallies vouch up to the margin of chance

Cause: seen on join 1, zone 1 and herd 1: 66% of 694 failed beside 2% of the earlier build in the tally of 34.5 s, and it went back at 37.5 s. weigh_tallies left that tally out, since 36 of its 60 machines had just started: look_round took the least capacity of all, where 24 were warm and carried the txns. On join the good 114 went back again with "tallies fail 21 against 20": vouching asked for fewer than expected, where the test of the same tallies allows half as many again (FAULT_MARGIN). On join 1 the trouble before the build's larger share was met at 19.5% of the tallied txns: the share from which it is blamed is a quarter now, 297 (herd) and 881 (join, zone) carried 30 to 48% when all failed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,7 +31,7 @@
 const CLUSTERS: f64 = 3.0; // failures in tallies that come as one: in time, and on few sick machines
 const COLLAPSE: f64 = 0.2; // share of failures on top of those before the trial that no good build costs
 const COMMON: f64 = 0.1; // share of failures of all builds on top of those before that a trial is blamed for
-const CARRIES: f64 = 0.2; // share of the tallied txns from which a trial can harm all servers
+const CARRIES: f64 = 0.25; // share of the tallied txns from which a trial can harm all servers
 const MOST_FAULTS: f64 = 1e4; // failures that are weighed at most: more tell nothing new
 const WATCH: Ms = 15000.0; // ms after a release in which a collapse is laid to the build
 const REHEARSAL: Ms = 6000.0; // ms that the trial carries nearly all before its release: costs little
@@ -39,7 +39,7 @@
 const LOOKS: f64 = 10.0; // looks at new tallies of one build, which share δ
 const TALLY_HALF: Ms = 8000.0; // ms in which the weight of tallies halves: several periods of few counts
 const STAGE_KEPT: f64 = 0.3; // weight kept of an earlier stage's tallies: its few machines may have been sick
-const TALLY_WARM: f64 = 0.7; // capacity of the trial's instances from which tallies compare
+const TALLY_WARM: f64 = 0.7; // mean capacity of the trial's instances from which tallies compare
 const BASE_FADE: f64 = 0.995; // weight kept per outcome of the time before: some hundreds count
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
 const FRESH_CAP: f64 = 2.0; // in flight at a fresh instance: one running, one to follow
@@ -279,7 +279,7 @@
         let faults = Self::faults(&s.arms[RIGHT], trial, earlier, self.before[RIGHT]);
         // Some sick machines are no bad build: few own errors tell nothing where tallies see no more than usual.
         let tallied = self.answers[1] >= LEAST_OUTCOMES;
-        let vouched = tallied && self.weighed.failed < self.weighed.expected;
+        let vouched = tallied && self.weighed.failed < FAULT_MARGIN * self.weighed.expected;
         found.extend((on_trial && !vouched).then_some((faults, of_own, "own errors and flags")));
         // A build may slow all servers, old and new: then only the time before it came compares.
         let all = Arm::pool(&s.arms[PACE], if earlier.is_empty() { trial } else { earlier }, None);
@@ -861,7 +861,8 @@
         let due = now - self.judge.judged >= JUDGE_EVERY - ROUNDING;
         if let Some(news) = self.exposure.news.as_ref().filter(|_| due) {
             let (trial, earlier) = self.sides(false);
-            let warmth = trial.iter().map(|i| self.fleet.warmth(*i, now)).fold(1.0, f64::min);
+            let warmths = trial.iter().map(|i| self.fleet.warmth(*i, now));
+            let warmth = if trial.is_empty() { 1.0 } else { warmths.sum::<f64>() / trial.len() as f64 };
             let load = self.fleet.load_since(now - RATE_SPAN);
             let sight = Sight { warmth, trial, earlier, load, now };
             self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.desk.out);
