Property tests over fleets of 1 to 500 gateways and 1 to 200 instances hold the sums

Need: bounds over the fleet were tested at one size each. 24 random sizes, zones 1 to 3, one gateway with up to five times the mean: a cold instance gets no more than its budget of all gateways together; votes within 250 ms stay under 24 and a bad build goes back; every instance is met and no gateway meets more than its part; the same events give the same actions.

--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1,5 +1,6 @@
 //! Short stories, one for each rule, trouble or failure met.
 
+mod fleet;
 mod host;
 
 use host::{Host, STEP, Sent, Terms, product};
