--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,7 +39,7 @@
 const LOOKS: f64 = 10.0; // looks at new tallies of one build, which share δ
 const TALLY_HALF: Ms = 8000.0; // ms in which the weight of tallies halves: several periods of few counts
 const STAGE_KEPT: f64 = 0.3; // weight kept of an earlier stage's tallies: its few machines may have been sick
-const TALLY_WARM: f64 = 0.7; // mean capacity of the trial's instances from which tallies compare
+const TALLY_WARM: f64 = 0.7; // capacity of the trial's instances from which tallies compare
 const BASE_FADE: f64 = 0.995; // weight kept per outcome of the time before: some hundreds count
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
 const FRESH_CAP: f64 = 2.0; // in flight at a fresh instance: one running, one to follow
@@ -191,7 +191,7 @@
 
     /// Adds the new tallies, trial against earlier within each period and product: neither their mix counts
     /// nor what comes over the whole fleet.
-    fn weigh_tallies(&mut self, warmth: f64, full: bool, ready: f64) {
+    fn weigh_tallies(&mut self, [least, mean]: [f64; 2], full: bool, ready: f64) {
         let calm = self.trial.is_none() && self.released.is_none();
         let (mut all, mut expected, mut carried) = (Count::default(), 0.0, 0.0);
         for (product, [old, new]) in self.tallies.iter_mut().enumerate() {
@@ -210,7 +210,8 @@
             }
             self.tallied += new.count;
             self.answers = [self.answers[0] + old.served(), self.answers[1] + new.served()];
-            let new = if warmth < TALLY_WARM { Count::default() } else { new };
+            // Failures compare once most of the trial's machines are warm; times, which cold ones stretch, once all are.
+            let new = if mean < TALLY_WARM { Count::default() } else { new };
             // Earlier instances that are gone, or idle while the build carries nearly all, are no comparison.
             let alone = full || old.count < LEAST_OUTCOMES.min(new.count);
             let rate = if alone { (usual.mean + COLLAPSE) / FAULT_MARGIN } else { old.failing() };
@@ -219,9 +220,9 @@
             let quick = alone && new.served() > 0.0 && new.time < time.mean * (PACE_MARGIN / 4.0).exp();
             self.weighed.failed += if quick { new.failed.min(rate * new.count) } else { new.failed };
             let (ours, theirs) = (new.served(), old.served());
-            if !alone && ours > 0.0 && theirs > 0.0 {
+            if !alone && ours > 0.0 && theirs > 0.0 && least >= TALLY_WARM {
                 let count = ours * theirs / (ours + theirs) / 2.0;
-                let mean = (old.time / (new.time * warmth)).ln();
+                let mean = (old.time / (new.time * least)).ln();
                 self.weighed.pace.merge(&Arm { count, mean, squares: count });
             }
         }
@@ -861,8 +862,9 @@
         let due = now - self.judge.judged >= JUDGE_EVERY - ROUNDING;
         if let Some(news) = self.exposure.news.as_ref().filter(|_| due) {
             let (trial, earlier) = self.sides(false);
-            let warmths = trial.iter().map(|i| self.fleet.warmth(*i, now));
-            let warmth = if trial.is_empty() { 1.0 } else { warmths.sum::<f64>() / trial.len() as f64 };
+            let warmths: Vec<f64> = trial.iter().map(|i| self.fleet.warmth(*i, now)).collect();
+            let mean = warmths.iter().sum::<f64>() / warmths.len().max(1) as f64;
+            let warmth = [warmths.into_iter().fold(1.0, f64::min), mean];
             let load = self.fleet.load_since(now - RATE_SPAN);
             let sight = Sight { warmth, trial, earlier, load, now };
             self.judge.judge(&mut self.rng, &mut self.fleet.servers, sight, news, &mut self.desk.out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -273,8 +273,8 @@
 pub struct Sight {
     pub trial: Vec<usize>,
     pub earlier: Vec<usize>,
-    /// Capacity that the coldest instance on trial has at least.
-    pub warmth: f64,
+    /// Capacity that the coldest instance on trial has at least, and all of them on the mean.
+    pub warmth: [f64; 2],
     /// Txns that lately came for each instance that lately answered.
     pub load: f64,
     pub now: Ms,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -318,6 +318,27 @@
     assert_eq!(host.voted(2, Verdict::Back), bad);
 }
 
+/// Two machines of the trial are warm and carry its txns, a third has just started.
+#[rstest]
+#[case::failures_compare((60, 30, 60.0), true)]
+#[case::times_do_not((60, 0, 150.0), false)]
+fn while_some_of_the_trial_start_failures_compare_and_times_do_not(
+    #[case] new: (u64, u64, Ms), #[case] bad: bool,
+) {
+    let mut host = one_of_many(7, 0.5, well);
+    host.serve(4000.0, 40);
+    host.start(&["a32"], 2);
+    host.serve(500.0, 40);
+    for _ in 0..4 {
+        host.tally(2, new.0, new.1, new.2);
+        host.tally(1, 100, 2, 60.0);
+        host.serve(250.0, 40);
+    }
+    // Few of many vote: give this one time to be drawn.
+    host.run(60_000.0);
+    assert_eq!(host.voted(2, Verdict::Back), bad);
+}
+
 /// Failures of old and new alike, in tallies of all gateways; each period by its trial's and its others' counts.
 #[rstest]
 #[case::from_the_larger_share_on([(12, 0, 88, 2), (12, 0, 88, 2), (30, 15, 70, 35), (30, 15, 70, 35)], true)]
