--- a/crates/program/tests/control.rs
+++ b/crates/program/tests/control.rs
@@ -67,8 +67,8 @@
         (proxy, orders)
     }
 
-    /// The proxy hears of a change that is made now. What it holds tells, not a version: one that came back holding
-    /// just what is handed out is rightly sent nothing. One of the two states it does not hold yet.
+    /// The proxy hears of a change that is made now. What it holds tells, not a version: one that came back
+    /// holding just what is handed out is rightly sent nothing. One of the two states it does not hold yet.
     fn serves(&self, proxy: &Proxy) {
         let addr = SocketAddr::from(([127, 0, 0, 9], 5000));
         for health in ["draining", "up"] {
--- a/crates/program/tests/stories.rs
+++ b/crates/program/tests/stories.rs
@@ -510,8 +510,8 @@
     let gateway = Gateway::start_with(&[&server], |config| config["limits"]["sockets"] = json!(64));
     let mut rude: Vec<Client> = (0..200).map(|_| Client::connect(gateway.addr)).collect();
     rude.iter_mut().for_each(|client| drop(client.0.write_all(b"\0\0\0")));
-    // There are seats for 8: whoever has been there for 50 ms without asking makes room. Where all came just now, a
-    // client is turned away, by an error that says so, and comes again.
+    // There are seats for 8: whoever has been there for 50 ms without asking makes room. Where all came just
+    // now, a client is turned away, by an error that says so, and comes again.
     let mut usual = Client::connect(gateway.addr);
     until("a usual client is served", || {
         usual.send(&[startup(), query(&select("a1", "look", 1900))].concat());
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -189,8 +189,8 @@
         Self::rare(FAULT_MARGIN * new.count * (wrong(&old) + 1.0) / old.count.max(1.0), wrong(&new))
     }
 
-    /// Adds the new tallies, trial against earlier within each period and product: neither their mix counts
-    /// nor what comes over the whole fleet.
+    /// Adds the new tallies, trial against earlier within each period and product, so that their mix does
+    /// not count; and looks whether all fail alike, against the time before.
     fn weigh_tallies(&mut self, [least, mean]: [f64; 2], full: bool, ready: f64) {
         let calm = self.trial.is_none() && self.released.is_none();
         let (mut all, mut expected, mut carried) = (Count::default(), 0.0, 0.0);
@@ -210,7 +210,7 @@
             }
             self.tallied += new.count;
             self.answers = [self.answers[0] + old.served(), self.answers[1] + new.served()];
-            // Failures compare once most of the trial's machines are warm; times, which cold ones stretch, once all are.
+            // Failures compare once most of the trial is warm; times, which cold ones stretch, once all is.
             let new = if mean < TALLY_WARM { Count::default() } else { new };
             // Earlier instances that are gone, or idle while the build carries nearly all, are no comparison.
             let alone = full || old.count < LEAST_OUTCOMES.min(new.count);
@@ -278,7 +278,7 @@
         let old = |kind: usize| Arm::pool(&s.arms[kind], earlier, None);
         let count = Arm::pool(&s.arms[SCORE], trial, None).count;
         let faults = Self::faults(&s.arms[RIGHT], trial, earlier, self.before[RIGHT]);
-        // Some sick machines are no bad build: few own errors tell nothing where tallies see no more than usual.
+        // Some sick machines are no bad build: own errors tell nothing where tallies see no more than usual.
         let tallied = self.answers[1] >= LEAST_OUTCOMES;
         let vouched = tallied && self.weighed.failed < FAULT_MARGIN * self.weighed.expected;
         found.extend((on_trial && !vouched).then_some((faults, of_own, "own errors and flags")));
--- a/src/state.rs
+++ b/src/state.rs
@@ -318,7 +318,7 @@
     pub time_before: Vec<Arm>,
     /// Tallied at each instance in a period then.
     pub load_tallied: Vec<Arm>,
-    /// Failures of all builds in the newest tallies that the trial is blamed for: those expected, and those that were.
+    /// Failures of all in the newest tallies that the trial is blamed for: those expected, and those seen.
     pub common: [f64; 2],
     /// They were there before it carried much.
     pub excused: bool,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -1,4 +1,4 @@
-//! Many gateways in one simulated run, over random sizes: what each does alone stays within a bound for all together.
+//! Many gateways in one simulated run, over random sizes: what each does alone stays within a bound for all.
 
 use crate::host::{Host, STEP, Terms};
 use latchhaven::api::*;
@@ -82,7 +82,7 @@
 proptest! {
     #![proptest_config(config())]
 
-    /// One instance of many starts cold: all gateways together push it over at no size, however uneven their traffic.
+    /// One instance of many starts cold: all gateways together push it over at no size, however uneven.
     #[test]
     fn a_cold_instance_gets_no_more_than_its_budget_of_all_gateways_together(size in sizes()) {
         let mut fleet = Fleet::new(size);
@@ -90,7 +90,7 @@
         let start = fleet.now();
         fleet.tell(|host| host.start(&["a999"], 1));
         fleet.serve(2000.0);
-        // The host's terms: twice what its capacity of then takes of the fleet's txns, within 1 s; 0.4 of it at first,
+        // The host's terms: twice what its capacity takes of the fleet's txns, within 1 s; 0.4 of it at first,
         // 0.55 after one of the four seconds, of which it warms up within each span.
         let moments = fleet.sent_to("a999", start);
         let capacity = size.1 as f64 + 0.4;
@@ -142,7 +142,8 @@
     #[test]
     fn a_fleet_does_the_same_again(size in sizes()) {
         let day = || {
-            let mut fleet = Fleet::new((size.0.min(40), size.1, size.2, size.3.min(f64::from(size.0.min(40))), size.4));
+            let (few, times) = (size.0.min(40), size.3.min(f64::from(size.0.min(40))));
+            let mut fleet = Fleet::new((few, size.1, size.2, times, size.4));
             fleet.serve(1000.0);
             fleet.tell(|host| host.start(&["a999"], 2));
             fleet.tell(|host| host.stage(2, 1, Phase::OnTrial, 0.5));
@@ -171,7 +172,7 @@
         // A part is eight at least, or what its traffic meets every 4 s, drawn by chance.
         for (names, txns) in held {
             let part = (txns as f64 / 2.0).max(8.0);
-            prop_assert!(names as f64 <= part + 2.0 * part.sqrt() + 4.0, "{names} met by {txns} txns, {size:?}");
+            prop_assert!(names as f64 <= part + 2.0 * part.sqrt() + 4.0, "{names} met, {txns} txns, {size:?}");
         }
     }
 }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -236,6 +236,11 @@
         self.sent.iter().filter(|sent| sent.id == id).map(|sent| sent.instance.clone()).collect()
     }
 
+    /// What it logged, with its time: why a build was found bad.
+    pub fn logged(&self) -> Vec<&(Ms, Action)> {
+        self.all.iter().filter(|(_, action)| matches!(action, Action::Log(_))).collect()
+    }
+
     pub fn voted(&self, build: Build, verdict: Verdict) -> bool {
         let wanted = |action: &Action| matches!(action, Action::Vote { build: b, verdict: v, .. } if (*b, *v) == (build, verdict));
         self.all.iter().any(|(_, action)| wanted(action))
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -253,8 +253,7 @@
 fn the_judge_tells_builds_from_machines(#[case] behave: fn(&Sent) -> (Ending, Ms), #[case] bad: bool) {
     let mut host = trial(Terms::default(), 1, 0.5, behave);
     host.serve(15_000.0, 2);
-    let log: Vec<_> = host.all.iter().filter(|(_, action)| matches!(action, Action::Log(_))).collect();
-    assert_eq!(host.voted(2, Verdict::Back), bad, "{log:?}");
+    assert_eq!(host.voted(2, Verdict::Back), bad, "{:?}", host.logged());
     assert!(bad || host.voted(2, Verdict::On));
 }
 
@@ -339,7 +338,7 @@
     assert_eq!(host.voted(2, Verdict::Back), bad);
 }
 
-/// Failures of old and new alike, in tallies of all gateways; each period by its trial's and its others' counts.
+/// Failures of old and new alike, in tallies of all gateways; each period by the trial's and the others' counts.
 #[rstest]
 #[case::from_the_larger_share_on([(12, 0, 88, 2), (12, 0, 88, 2), (30, 15, 70, 35), (30, 15, 70, 35)], true)]
 #[case::they_were_there_before([(12, 0, 88, 2), (6, 3, 94, 47), (30, 15, 70, 35), (30, 15, 70, 35)], false)]
@@ -358,8 +357,7 @@
         host.serve(2000.0, 40);
     }
     host.run(20_000.0);
-    let log: Vec<_> = host.all.iter().filter(|(_, action)| matches!(action, Action::Log(_))).collect();
-    assert_eq!(host.voted(2, Verdict::Back), bad, "{log:?}");
+    assert_eq!(host.voted(2, Verdict::Back), bad, "{:?}", host.logged());
 }
 
 /// Two of four machines of the trial are sick, and this gateway happens to meet them.
