Closes of client connections linger, new ones outlive SIGTERM, a client gone unseen is found

Now: after an error the sending side is shut, up to 256 KiB are read and dropped for 200 ms at most; after an answer while stopping what was not read stays unread, for its client sends it again; a seat that lingers goes first where room is wanted. One that has not asked gets 250 ms after SIGTERM or its coming, then 53300, as one that makes room. Requests are read for 600 ms after SIGTERM: PROTOCOL counts as lost what comes later than 700 ms and is not answered. A client's end behind unread bytes is looked for every 50 ms.

--- a/crates/gateway/src/net/clients.rs
+++ b/crates/gateway/src/net/clients.rs
@@ -2,8 +2,8 @@
 
 use super::{
     ACCEPT_AGAIN, Answer, CLIENT_FAULTS, CLIENT_FIRST, CLIENT_HALF, CLIENT_IDLE, CLIENT_IDLE_LEAST,
-    CLIENT_SILENT_LEAST, CLIENT_STALL, HELD, LARGE_AT_ONCE, LOGGED_OF, Note, TURNED_AWAY_AT_ONCE, read_some,
-    unread, write_all,
+    CLIENT_SILENT_LEAST, CLIENT_STALL, GONE_LOOK, HEAD, HELD, LARGE_AT_ONCE, LAST_FIRST, LAST_READS, LINGER,
+    LINGER_BYTES, LOGGED_OF, Note, TURNED_AWAY_AT_ONCE, ended, read_at_most, read_some, unread, write_all,
 };
 use crate::counters::COUNTERS;
 use crate::gateway::Clock;
@@ -11,9 +11,11 @@
 use crate::proto::pg::{self, Asked, Frontend, Statement};
 use bytes::{Bytes, BytesMut};
 use latchhaven::api::{Effect, Product};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -32,18 +34,31 @@
     Idle,
     /// Asked to leave.
     Leaving,
+    /// Told its last; only its end is waited for.
+    Ending,
 }
 
 /// What came of reading on.
 enum More {
     Read,
-    /// Something came as the connection was to be closed.
-    Last,
+    /// The client has gone, or has idled for long.
     Left,
+    /// This gateway wants it to end.
+    Closing,
     /// The time was up.
     Late,
 }
 
+/// How a connection ends.
+enum End {
+    /// Nothing is on its way to the client.
+    Quiet,
+    /// An answer may be, and requests that were not read are the client's to send again.
+    Answered,
+    /// An error may be, and nothing behind it counts.
+    Refused,
+}
+
 /// One client's connection, as the others see it.
 struct Seat {
     at: Cell<At>,
@@ -65,7 +80,8 @@
     large: Semaphore,
     seated: Cell<u64>,
     txns: Cell<u32>,
-    stopping: Cell<bool>,
+    /// Since when all stops.
+    stopped: Cell<Option<Instant>>,
     clock: Clock,
     notes: mpsc::Sender<Note>,
 }
@@ -81,7 +97,7 @@
             large: Semaphore::new(LARGE_AT_ONCE),
             seated: Cell::new(0),
             txns: Cell::new(0),
-            stopping: Cell::new(false),
+            stopped: Cell::new(None),
             clock,
             notes,
         })
@@ -123,7 +139,7 @@
 
     fn seat(self: Rc<Self>, stream: TcpStream) {
         COUNTERS.client_connections.add();
-        let leaving = |seat: &&Rc<Seat>| seat.at.get() == At::Leaving;
+        let leaving = |seat: &&Rc<Seat>| matches!(seat.at.get(), At::Leaving | At::Ending);
         let staying = self.open() - self.seats.borrow().values().filter(leaving).count();
         let room = staying < self.most || self.make_room();
         let (at, since) = (Cell::new(At::Silent), Cell::new(Instant::now()));
@@ -132,9 +148,14 @@
         self.seats.borrow_mut().insert(number, seat.clone());
         COUNTERS.client_connections_most.most(self.open());
         COUNTERS.now_client_connections.now(self.open());
+        let peer = stream.peer_addr().ok().map(tracing::field::display);
         tokio::task::spawn_local(async move {
-            if let Err(fault) = self.serve(&stream, &seat, room).await {
-                tracing::debug!(%fault, "clients: connection lost");
+            match self.serve(&stream, &seat, room).await {
+                Ok(end) => {
+                    seat.at.set(At::Ending);
+                    linger(&stream, &seat, end).await;
+                }
+                Err(fault) => tracing::debug!(peer, %fault, "clients: connection lost"),
             }
             self.seats.borrow_mut().remove(&number);
             COUNTERS.now_client_connections.now(self.open());
@@ -149,17 +170,20 @@
             let of = seats.values().filter(|seat| seat.at.get() == at && seat.since.get().elapsed() >= least);
             of.min_by_key(|seat| seat.since.get())
         };
-        let silent = longest(At::Silent, CLIENT_SILENT_LEAST);
-        let Some(seat) = silent.or_else(|| longest(At::Idle, CLIENT_IDLE_LEAST)) else { return false };
-        COUNTERS.clients_let_go.add();
+        let ending = longest(At::Ending, Duration::ZERO);
+        let usual =
+            || longest(At::Silent, CLIENT_SILENT_LEAST).or_else(|| longest(At::Idle, CLIENT_IDLE_LEAST));
+        let let_go = ending.is_none().then(usual).flatten().inspect(|_| COUNTERS.clients_let_go.add());
+        let Some(seat) = ending.or(let_go) else { return false };
         seat.at.set(At::Leaving);
         seat.leave.notify_one();
         true
     }
 
-    /// From now on a connection ends after its answer, or at once where nothing is asked.
+    /// From now on a connection ends after its answer, or at once where nothing more is asked; one that has not
+    /// asked yet gets a moment to do so.
     pub fn stop(&self) {
-        self.stopping.set(true);
+        self.stopped.set(self.stopped.get().or(Some(Instant::now())));
         self.seats.borrow().values().for_each(|seat| seat.leave.notify_one());
     }
 
@@ -167,45 +191,55 @@
         self.seats.borrow().len()
     }
 
-    async fn serve(&self, stream: &TcpStream, seat: &Seat, room: bool) -> io::Result<()> {
+    /// Those with an open txn.
+    pub fn busy(&self) -> usize {
+        self.seats.borrow().values().filter(|seat| seat.at.get() == At::Busy).count()
+    }
+
+    async fn serve(&self, stream: &TcpStream, seat: &Seat, room: bool) -> io::Result<End> {
         stream.set_nodelay(true)?;
         let (mut frontend, mut buf, mut faults) = (Frontend::default(), BytesMut::new(), 0);
-        let (mut begun, mut last) = (None, false);
+        let mut begun = None;
         loop {
             let asked = match frontend.next(&mut buf) {
                 Ok(asked) => asked,
                 Err(broken) => {
                     COUNTERS.broken_streams.add();
                     let last = pg::error(true, pg::PROTOCOL, &broken.to_string(), None);
-                    return write(stream, &[last]).await;
+                    return write(stream, &[last]).await.map(|()| End::Refused);
                 }
             };
             // One byte at a time, a command would never be late if each byte gave it more time.
             begun = if buf.is_empty() || asked.is_some() { None } else { begun.or(Some(Instant::now())) };
             let fault = match asked {
-                None if last => return Ok(()),
                 None => match self.more(stream, seat, &mut buf, begun).await? {
                     More::Read => continue,
-                    More::Last => {
-                        last = true;
-                        continue;
+                    More::Left => return Ok(End::Quiet),
+                    More::Closing if seat.asked.get() && seat.at.get() == At::Leaving => {
+                        return Ok(End::Quiet);
+                    }
+                    More::Closing if seat.asked.get() => return Ok(End::Answered),
+                    More::Closing => {
+                        // Closed without a word, it would not know that coming again is harmless.
+                        COUNTERS.clients_turned_away.add();
+                        let last = pg::error(true, pg::TOO_MANY, "no room, or stopping: come again", None);
+                        return write(stream, &[last]).await.map(|()| End::Refused);
                     }
-                    More::Left => return Ok(()),
                     More::Late => {
                         COUNTERS.clients_late.add();
                         let last = pg::error(true, pg::PROTOCOL, "nothing whole was asked in time", None);
-                        return write(stream, &[last]).await;
+                        return write(stream, &[last]).await.map(|()| End::Refused);
                     }
                 },
                 Some(Asked::Encryption) => {
                     write(stream, &[Bytes::from_static(b"N")]).await?;
                     continue;
                 }
-                Some(Asked::Cancel | Asked::Terminate) => return Ok(()),
+                Some(Asked::Cancel | Asked::Terminate) => return Ok(End::Answered),
                 Some(Asked::Startup) if !room => {
                     COUNTERS.clients_turned_away.add();
                     let last = pg::error(true, pg::TOO_MANY, "too many connections", None);
-                    return write(stream, &[last]).await;
+                    return write(stream, &[last]).await.map(|()| End::Refused);
                 }
                 Some(Asked::Startup) => {
                     write(stream, &[pg::greeting()]).await?;
@@ -224,7 +258,7 @@
                     Ok(statement) => {
                         seat.at.set(At::Busy);
                         seat.asked.set(true);
-                        let answered = self.take(stream, &mut buf, statement).await;
+                        let answered = self.take(stream, seat, &mut buf, statement).await;
                         seat.at.set(At::Idle);
                         seat.since.set(Instant::now());
                         answered?;
@@ -241,7 +275,7 @@
             let after = if ready && !fatal { pg::READY } else { &[] };
             write(stream, &[error, Bytes::from_static(after)]).await?;
             if fatal {
-                return Ok(());
+                return Ok(End::Refused);
             }
         }
     }
@@ -261,7 +295,9 @@
     }
 
     /// Hands a txn on and writes its answer.
-    async fn take(&self, stream: &TcpStream, buf: &mut BytesMut, statement: Rc<Statement>) -> io::Result<()> {
+    async fn take(
+        &self, stream: &TcpStream, seat: &Seat, buf: &mut BytesMut, statement: Rc<Statement>,
+    ) -> io::Result<()> {
         let number = self.txns.replace(self.txns.get().wrapping_add(1));
         let (reply, answer) = oneshot::channel();
         let id = statement.id.clone();
@@ -269,7 +305,7 @@
         // Stamped when it is its turn: what waits behind another on a connection is not late.
         let came = self.clock.now();
         let _ = self.notes.send(Note::Txn { id: number, statement, came, reply }).await;
-        let answered = self.answer(stream, buf, answer).await;
+        let answered = self.answer(stream, seat, buf, answer).await;
         self.ids.borrow_mut().remove(&id);
         if answered.is_err() {
             let _ = self.notes.send(Note::Gone { id: number }).await;
@@ -292,15 +328,24 @@
         if Instant::now() >= until {
             return Ok(late);
         }
+        if asked && begun.is_none() && self.reads_no_more() {
+            return Ok(More::Closing);
+        }
         let leaves = async {
-            if begun.is_some() {
-                // While all stops the rest is still waited for.
-                while seat.at.get() != At::Leaving {
-                    seat.leave.notified().await;
+            loop {
+                let wanted = match (seat.at.get(), self.stopped.get()) {
+                    (At::Leaving, _) => return,
+                    // While all stops the rest of a command is still waited for.
+                    (_, Some(_)) if begun.is_some() => None,
+                    (_, Some(_)) if asked => return,
+                    // One that has just come is about to ask.
+                    (_, Some(stopped)) => Some(stopped.max(seat.since.get()) + LAST_FIRST),
+                    (_, None) => None,
+                };
+                select! {
+                    () = seat.leave.notified() => {}
+                    () = sleep_until(wanted.unwrap_or(until)), if wanted.is_some() => return,
                 }
-            } else if seat.at.get() != At::Leaving && !(self.stopping.get() && asked) {
-                // A connection that came while stopping is still waited for; others end after their answer.
-                seat.leave.notified().await;
             }
         };
         select! {
@@ -308,15 +353,35 @@
             read = self.rest(stream, buf) => Ok(if read? > 0 { More::Read } else { More::Left }),
             // What has come by the time that the connection is to be closed is still taken.
             () = leaves => match unread(stream) && read_some(stream, buf).await? > 0 {
-                true => Ok(More::Last),
-                false => Ok(More::Left),
+                true => Ok(More::Read),
+                false => Ok(More::Closing),
             },
             () = sleep_until(until) => Ok(late),
         }
     }
 
+    /// True where all stops and only what was begun is still read: what is read later could not be answered in time,
+    /// while what is not read at all is sent again elsewhere.
+    fn reads_no_more(&self) -> bool {
+        self.stopped.get().is_some_and(|stopped| stopped.elapsed() >= LAST_READS)
+    }
+
+    /// Waits until nothing is read any more.
+    async fn last_reads(&self, seat: &Seat) {
+        loop {
+            match self.stopped.get() {
+                Some(stopped) => return sleep_until(stopped + LAST_READS).await,
+                None => seat.leave.notified().await,
+            }
+        }
+    }
+
     /// Reads the rest of a command: on so many connections at once where it is long.
     async fn rest(&self, stream: &TcpStream, buf: &mut BytesMut) -> io::Result<usize> {
+        if self.reads_no_more() {
+            let whole = pg::length(buf).max(HEAD);
+            return read_at_most(stream, buf, whole.saturating_sub(buf.len()).max(1)).await;
+        }
         if buf.len() < HELD {
             return read_some(stream, buf).await;
         }
@@ -332,17 +397,23 @@
 
     /// Waits for the final answer and writes it; an error: the client has gone away.
     async fn answer(
-        &self, stream: &TcpStream, buf: &mut BytesMut, mut answer: oneshot::Receiver<Answer>,
+        &self, stream: &TcpStream, seat: &Seat, buf: &mut BytesMut, mut answer: oneshot::Receiver<Answer>,
     ) -> io::Result<()> {
         let given = loop {
+            let reads = buf.len() < HELD && !self.reads_no_more();
             select! {
                 biased;
                 given = &mut answer => break given,
-                read = read_some(stream, buf), if buf.len() < HELD => {
+                () = self.last_reads(seat), if reads => {}
+                read = read_some(stream, buf), if reads => {
                     if read? == 0 {
                         return Err(io::ErrorKind::UnexpectedEof.into());
                     }
                 }
+                // Behind so much that waits unread its end cannot be read.
+                () = has_ended(stream), if !reads => {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
             }
         };
         must!(given.is_ok(), "every txn gets an answer");
@@ -363,6 +434,45 @@
     }
 }
 
+/// Ends a connection so that what was told last arrives: closed at once over unread bytes, it would be reset, and a
+/// reset takes with it what the client has not read yet.
+async fn linger(stream: &TcpStream, seat: &Seat, end: End) {
+    if matches!(end, End::Quiet) || SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let parted = async {
+        match end {
+            End::Refused => {
+                let (mut buf, mut left) = (BytesMut::new(), LINGER_BYTES);
+                while let Ok(read @ 1..) = read_some(stream, &mut buf).await
+                    && left > 0
+                {
+                    left = left.saturating_sub(read);
+                    buf.clear();
+                }
+            }
+            // What comes now was not read and never will be: its client sends it again elsewhere.
+            End::Answered | End::Quiet => has_ended(stream).await,
+        }
+    };
+    select! {
+        () = parted => {}
+        () = sleep(LINGER) => {}
+        () = async {
+            while seat.at.get() != At::Leaving {
+                seat.leave.notified().await;
+            }
+        } => {}
+    }
+}
+
+/// Waits until a client has ended its sending, without reading what it sent before that.
+async fn has_ended(stream: &TcpStream) {
+    while !ended(stream) {
+        sleep(GONE_LOOK).await;
+    }
+}
+
 /// Writes all to a client, which may not take for ever.
 async fn write(stream: &TcpStream, pieces: &[Bytes]) -> io::Result<()> {
     timeout(CLIENT_STALL, write_all(stream, pieces)).await.map_err(io::Error::from)?
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -5,14 +5,16 @@
 pub mod platform;
 pub mod servers;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use latchhaven::api::{Ending, ListKind, Load, Ms, StageNews};
 use socket2::SockRef;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
@@ -35,6 +37,20 @@
 /// A client gets so long to take an answer, and to finish what it has begun to write.
 pub const CLIENT_STALL: Duration = Duration::from_secs(5);
 pub const CLIENT_HALF: Duration = Duration::from_secs(2);
+/// A connection that is closed after an answer or error is held so long for its client to read it, and so much that
+/// comes behind an error is read meanwhile. An answer is under way for some ms; 64 KiB in hex and a little more fit.
+pub const LINGER: Duration = Duration::from_millis(200);
+pub const LINGER_BYTES: usize = 256 * 1024;
+/// How often it is looked whether a client has gone behind bytes that are not read: well within the 0.3 s after which
+/// nothing may be sent on for it.
+pub const GONE_LOOK: Duration = Duration::from_millis(50);
+/// While all stops, one that has not asked yet gets so long: the front hands connections out for 0.4 s, and what is
+/// asked later than 0.7 s after SIGTERM may not be answered in time.
+pub const LAST_FIRST: Duration = Duration::from_millis(250);
+/// So long after SIGTERM requests are read: what comes later than 0.7 s after it may not be answered before SIGKILL.
+pub const LAST_READS: Duration = Duration::from_millis(600);
+/// Bytes that tell a message's type and length.
+pub const HEAD: usize = 5;
 /// A connection on which no txn was taken by then ends: 3 s are allowed from its beginning.
 pub const CLIENT_FIRST: Duration = Duration::from_millis(2200);
 /// A client that asks nothing for so long is let go; for want of room the ones that idle longest go after the second.
@@ -121,6 +137,16 @@
     matches!(SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(count) if count > 0)
 }
 
+/// True where a peer has ended its sending, also behind bytes that were not read.
+pub fn ended(stream: &TcpStream) -> bool {
+    if matches!(SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(0)) {
+        return true;
+    }
+    let ready = std::pin::pin!(stream.ready(Interest::READABLE));
+    let looked = ready.poll(&mut Context::from_waker(Waker::noop()));
+    matches!(looked, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+}
+
 /// Reads what is there, up to one read's worth; 0: the peer has ended its sending.
 pub async fn read_some(stream: &TcpStream, buf: &mut BytesMut) -> io::Result<usize> {
     loop {
@@ -136,6 +162,17 @@
     }
 }
 
+/// The same, up to so many bytes.
+pub async fn read_at_most(stream: &TcpStream, buf: &mut BytesMut, most: usize) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        match stream.try_read_buf(&mut (&mut *buf).limit(most)) {
+            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+    }
+}
+
 /// Writes pieces gathered; `Err` tells that the last byte was not written.
 pub async fn write_all(stream: &TcpStream, pieces: &[Bytes]) -> io::Result<()> {
     let (mut piece, mut from) = (0, 0);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -119,3 +119,8 @@
     tracing::info!("gateway ends");
     Ok(())
 }
+    tracing::info!(
+        connections = clients.open(),
+        busy = clients.busy(),
+        "gateway stops: no more are accepted"
+    );
