A repeat is written within its window or not at all, and nothing waits on for a closed txn

Seen, red on the text before (crates/program/tests/endings.rs): - A repeat of a referenced txn that waited for a connection past the window was written all the same: `Choice::admits` looked at the window when it decided, and `Pool::carry` wrote whenever the connection came up, up to the dial's time later.

Now `Action::Submit` says within which time it may be written (`repeat_within` in choice.rs, which `admits` uses as well, from the first submission that may have run); the gateway takes it back when that is over, the connection's driver looks once more where it writes and ends a write that has not finished by then, which never ran. A txn that is closed takes back whatever was not written (`Gateway::closed`, `Pool::take_back`), with recalls or without.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -66,6 +66,18 @@
     /// The gateway stops waiting for an errand.
     Limit(Errand),
 }
+    /// What was not written by now may not be written any more.
+    Unwritten(Errand),
+}
+
+/// A call for the list that is out.
+struct Call {
+    number: u64,
+    task: AbortHandle,
+    /// It has told something.
+    told: bool,
+    /// How many lists had been taken over when it was made, or when it last told.
+    lists: u64,
 
 pub struct Gateway {
     choice: Choice,
@@ -188,7 +200,7 @@
                     open.reply = None;
                     events.push(Event::ClientGone { id });
                 }
-                self.forget(id);
+                self.closed(id);
             }
             Note::Free { link, first } => self.pool.free(link, first, now),
             Note::NotUp { link } => {
@@ -318,6 +330,7 @@
         let Some(instance) = instance else { return };
         match self.pool.stop(&instance, errand) {
             Stopped::Written => self.ended(errand, ending, None, Load::new(), events),
+                Due::Unwritten(errand) => self.take_back(errand, events),
             Stopped::Unwritten => self.ended(errand, Ending::NotSent, None, Load::new(), events),
             Stopped::Unknown => drop(must!(false, "what has not ended is out somewhere")),
         }
@@ -340,6 +353,27 @@
                 let Some((instance, at)) = self.probes.remove(&number) else { return };
                 let report = value.as_ref().filter(|_| self.connections.reports == Reports::InProbes);
                 let load = report.and_then(|[_, row, _]| pg::text_of(row)).map(pg::load).unwrap_or(load);
+    /// Gives up an errand if its last byte was not written yet.
+    fn take_back(&mut self, errand: Errand, events: &mut Vec<Event>) {
+        let Errand::Submission { id, n } = errand else { return };
+        let Some(instance) = self.sent(id, n).map(|sent| sent.instance.clone()) else { return };
+        if self.pool.take_back(&instance, errand) {
+            self.ended(errand, Ending::NotSent, None, Load::new(), events);
+        }
+    }
+
+    /// A txn has its final answer, or its client has gone: what waits for a connection is sent no more, whether
+    /// the decisions may recall or not.
+    fn closed(&mut self, id: u32) {
+        let count = self.open.get(&id).map_or(0, |open| open.submissions.len() as u32);
+        let mut events = Vec::new();
+        for n in 0..count {
+            self.take_back(Errand::Submission { id, n }, &mut events);
+        }
+        self.next.append(&mut events);
+        self.forget(id);
+    }
+
                 return events.push(Event::Probed { instance, ending, took: now - at, load });
             }
         };
@@ -359,7 +393,9 @@
         }
         let closed = open.reply.is_none();
         events.push(Event::Ended { id, submission: n, instance, ending, closed, took, load });
-        self.forget(id);
+        if closed {
+            self.closed(id)
+        }
     }
 
     /// Drops a txn that is answered and has nothing out.
@@ -372,7 +408,9 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Submit { id, instance, limit } => self.submit(id, instance, limit),
+            Action::Submit { id, instance, limit, write_within } => {
+                self.submit(id, instance, limit, write_within)
+            }
             Action::Decline { id, come_back } => {
                 self.answer(id, Answer::Declined { come_back }, &COUNTERS.declined);
             }
@@ -434,10 +472,10 @@
         let Some(reply) = self.open.get_mut(&id).and_then(|open| open.reply.take()) else { return };
         count.add();
         let _ = reply.send(answer);
-        self.forget(id);
+        self.closed(id);
     }
 
-    fn submit(&mut self, id: u32, instance: String, limit: Option<Ms>) {
+    fn submit(&mut self, id: u32, instance: String, limit: Option<Ms>, write_within: Option<Ms>) {
         let now = self.clock.now();
         let Some(open) = self.open.get_mut(&id) else {
             must!(false, "only open txns are sent on");
@@ -449,7 +487,8 @@
         open.submissions.push(Sent { instance: instance.clone(), at: now, ended: false });
         let (errand, wanted) = (Errand::Submission { id, n }, open.reply.is_some() && until > now);
         let statement = open.statement.clone();
-        if wanted && self.pool.send(&instance, errand, Some(statement), until, now) {
+        let at = by.map(|by| self.clock.instant(by));
+        if wanted && self.pool.send(&instance, errand, Some(statement), until, at, now) {
             self.remind(until, Due::Limit(errand));
         } else {
             self.hand_back(vec![errand]);
@@ -463,8 +502,9 @@
         let (errand, until) = (Errand::Probe(self.probed), now + self.connections.dial_within);
         self.probes.insert(self.probed, (instance.clone(), now));
         let allowed = must!(self.connections.probes, "probes only where allowed");
-        if allowed && self.pool.send(&instance, errand, None, until, now) {
+        if allowed && self.pool.send(&instance, errand, None, until, None, now) {
             self.remind(until, Due::Limit(errand));
+        let by = write_within.map(|within| now + within);
         } else {
             self.hand_back(vec![errand]);
         }
@@ -477,6 +517,7 @@
         Ending::Error => &COUNTERS.sub_error,
         Ending::TurnedAway => &COUNTERS.sub_turned_away,
         Ending::NoAnswer => &COUNTERS.sub_no_answer,
+            by.filter(|by| *by < until).into_iter().for_each(|by| self.remind(by, Due::Unwritten(errand)));
         Ending::NoConnection => &COUNTERS.sub_no_connection,
         Ending::ConnectionLost => &COUNTERS.sub_lost,
         Ending::Recalled => &COUNTERS.sub_recalled,
--- a/crates/gateway/src/net/servers.rs
+++ b/crates/gateway/src/net/servers.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::select;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 /// What is sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,8 +32,13 @@
     /// None: a probe.
     statement: Option<Rc<Statement>>,
     until: Ms,
+    /// Its last byte may not be written later.
+    by: Option<Instant>,
 }
 
+/// What is to be written, and by when.
+type Pieces = (Vec<Bytes>, Option<Instant>);
+
 /// One connection to a server.
 pub struct Link {
     instance: String,
@@ -43,7 +48,7 @@
     written: Cell<bool>,
     errand: Cell<Option<Errand>>,
     idle_from: Cell<Instant>,
-    pieces: RefCell<Option<Vec<Bytes>>>,
+    pieces: RefCell<Option<Pieces>>,
     wake: Notify,
 }
 
@@ -156,9 +161,10 @@
 
     /// Sends on an idle connection, or opens one. False: no connection can be had, nothing was sent.
     pub fn send(
-        &mut self, instance: &str, errand: Errand, statement: Option<Rc<Statement>>, until: Ms, now: Ms,
+        &mut self, instance: &str, errand: Errand, statement: Option<Rc<Statement>>, until: Ms,
+        by: Option<Instant>, now: Ms,
     ) -> bool {
-        let job = Job { errand, statement, until };
+        let job = Job { errand, statement, until, by };
         let Some(spot) = self.spots.get_mut(instance) else { return false };
         let fresh = Duration::from_secs_f64(self.connections.idle * IDLE_SHARE / 1000.0);
         while let Some(link) = spot.idle.pop() {
@@ -214,7 +220,7 @@
             None if self.connections.reports == Reports::InProbes => vec![pg::query("SHOW load")],
             None => vec![pg::query("SELECT 1")],
         };
-        *link.pieces.borrow_mut() = Some(pieces);
+        *link.pieces.borrow_mut() = Some((pieces, job.by));
         link.wake.notify_one();
         self.carrying.insert(job.errand, link);
     }
@@ -262,17 +268,25 @@
 
     /// Stops an errand: takes it out of the queue, or closes its connection.
     pub fn stop(&mut self, instance: &str, errand: Errand) -> Stopped {
-        if let Some(link) = self.carrying.remove(&errand) {
-            link.errand.set(None);
-            link.close();
-            return if link.written.get() { Stopped::Written } else { Stopped::Unwritten };
+        if self.take_back(instance, errand) {
+            return Stopped::Unwritten;
         }
-        let waiting = self.spots.get_mut(instance).map(|spot| &mut spot.waiting);
-        let found = waiting.and_then(|waiting| {
-            let at = waiting.iter().position(|job| job.errand == errand)?;
-            waiting.remove(at)
-        });
-        if found.is_some() { Stopped::Unwritten } else { Stopped::Unknown }
+        let Some(link) = self.carrying.remove(&errand) else { return Stopped::Unknown };
+        link.errand.set(None);
+        link.close();
+        Stopped::Written
+    }
+
+    /// Stops an errand if its last byte was not written yet; false: it was, or nothing is out under that name.
+    pub fn take_back(&mut self, instance: &str, errand: Errand) -> bool {
+        if self.carrying.get(&errand).is_some_and(|link| !link.written.get()) {
+            let link = self.carrying.remove(&errand);
+            link.inspect(|link| link.errand.set(None)).inspect(|link| link.close());
+            return true;
+        }
+        let Some(spot) = self.spots.get_mut(instance) else { return false };
+        let at = spot.waiting.iter().position(|job| job.errand == errand);
+        at.and_then(|at| spot.waiting.remove(at)).is_some()
     }
 
     pub fn close_idle(&mut self, instance: &str) {
@@ -325,7 +339,7 @@
         let until = Instant::now() + Duration::from_secs_f64(idle);
         let Some(pieces) = next_pieces(&link, stream, until, &mut backend, &mut buf).await else { break };
         let sent = select! {
-            sent = converse(&link, stream, &pieces, &mut backend, &mut buf, connections.reports, &large) => sent,
+            sent = converse(&link, stream, pieces, &mut backend, &mut buf, connections.reports, &large) => sent,
             () = link.closed() => break,
         };
         let (ending, value, load, next) = sent;
@@ -356,7 +370,7 @@
 /// Idles until there is something to send; none where the connection ends first.
 async fn next_pieces(
     link: &Link, stream: &TcpStream, until: Instant, backend: &mut Backend, buf: &mut BytesMut,
-) -> Option<Vec<Bytes>> {
+) -> Option<Pieces> {
     while !link.over.get() {
         if let Some(pieces) = link.pieces.take() {
             return Some(pieces);
@@ -403,7 +417,7 @@
 
 /// Sends one query and reads its answer: the ending, the value, the report, and what follows.
 async fn converse(
-    link: &Link, stream: &TcpStream, pieces: &[Bytes], backend: &mut Backend, buf: &mut BytesMut,
+    link: &Link, stream: &TcpStream, (pieces, by): Pieces, backend: &mut Backend, buf: &mut BytesMut,
     reports: Reports, large: &Arc<Semaphore>,
 ) -> (Ending, Option<[Bytes; 3]>, Load, Next) {
     // Handed over in the moment in which something came that nobody asked for.
@@ -411,7 +425,17 @@
         COUNTERS.server_unasked.add();
         return (Ending::NotSent, None, Vec::new(), Next::Over);
     }
-    if write_all(stream, pieces).await.is_err() {
+    // Looked at here, where it is written: a process that stood still since was handed it in time.
+    if by.is_some_and(|by| Instant::now() >= by) {
+        return (Ending::NotSent, None, Vec::new(), Next::Over);
+    }
+    let written = async {
+        match by {
+            Some(by) => timeout_at(by, write_all(stream, &pieces)).await.map_err(io::Error::from)?,
+            None => write_all(stream, &pieces).await,
+        }
+    };
+    if written.await.is_err() {
         return (Ending::NoConnection, None, Vec::new(), Next::Over);
     }
     link.written.set(true);
--- a/crates/program/tests/endings.rs
+++ b/crates/program/tests/endings.rs
@@ -183,6 +183,50 @@
     assert!(stuck.queries().iter().all(|(_, text)| text.contains("id=b")));
 }
 
+#[rstest]
+#[case::recalls_are_allowed(true)]
+#[case::recalls_are_not(false)]
+fn nothing_is_sent_for_a_client_that_went_while_a_connection_was_opened(#[case] cancelling: bool) {
+    let stuck = Server::start(Does::NeverUp);
+    let gateway = Gateway::start_with(&[&stuck], |config| {
+        patient(config);
+        config["settings"]["permissions"]["cancelling"] = json!(cancelling);
+    });
+    let mut client = gateway.client();
+    client.send(&query(&insert("a1", "pay", 60_000)));
+    until("a connection is waited for", || stuck.seen.lock().unwrap().connections == 1);
+    drop(client);
+    until("it is gone", || gateway.counter("clients_gone") == 1);
+    until("it is taken back", || gateway.counter("sub_not_sent") == 1);
+    stuck.set(Does::Serves);
+    // The connection that it waited for serves others.
+    served(&gateway);
+    assert!(stuck.queries().iter().all(|(_, text)| text.contains("id=b")));
+    assert_eq!(gateway.counter("broken_assertions"), 0);
+}
+
+#[test]
+fn a_repeat_that_waits_past_its_window_is_never_written() {
+    let server = Server::start(Does::ResetsForGood);
+    let gateway = Gateway::start_with(&[&server], |config| {
+        patient(config);
+        config["settings"]["classes"][1]["dedup-window-s"] = json!(0.7);
+    });
+    let mut client = gateway.client();
+    client.send(&query(&insert("a1", "book", 20_000)));
+    until("it may have run", || server.queries().len() == 1);
+    let since = Instant::now();
+    until("its repeat waits for a connection", || server.seen.lock().unwrap().connections >= 2);
+    until("the window is over", || since.elapsed() > Duration::from_millis(700));
+    server.set(Does::Serves);
+    // Whatever its own answer is: it has not gone out again, while what may be sent is.
+    let answer = outcome(&client.answer());
+    assert!(answer.is_err(), "{answer:?}");
+    served(&gateway);
+    let sent = server.queries();
+    assert_eq!(sent.iter().filter(|(_, text)| text.contains("id=a1")).count(), 1, "{sent:?}");
+}
+
 /// A list that answers a call for it only when it is let.
 fn held_back(answer: String) -> (Service, mpsc::Sender<()>) {
     let (let_go, waits) = mpsc::channel();
--- a/crates/program/tests/stories.rs
+++ b/crates/program/tests/stories.rs
@@ -170,7 +170,7 @@
     alone(async {
         let server = Server::start(Does::Serves);
         let (mut pool, mut noted) = idling(&server).await;
-        assert!(pool.send("s0", SECOND, None, 1000.0, 0.0));
+        assert!(pool.send("s0", SECOND, None, 1000.0, None, 0.0));
         // The driver has not run since: to it this comes between the choice of the connection and the write.
         server.seen.lock().unwrap().open[0].write_all(&row(b"not asked for")).unwrap();
         thread::sleep(Duration::from_millis(50));
@@ -212,7 +212,7 @@
     let (mut pool, mut noted) = pool(Reports::Silent);
     let (listing, addr) = up(server.addr);
     pool.relist(&listing, addr);
-    assert!(pool.send("s0", FIRST, None, 1000.0, 0.0));
+    assert!(pool.send("s0", FIRST, None, 1000.0, None, 0.0));
     assert_eq!(pool.stop("s0", FIRST), Stopped::Unwritten);
     let Some(Note::Free { link, first }) = noted.recv().await else { panic!("it never came up") };
     pool.free(link, first, 0.0);
@@ -231,7 +231,7 @@
         let (mut pool, mut noted) = idling(&server).await;
         server.end_all();
         until("the end has come", || server.seen.lock().unwrap().ended.len() == 1);
-        assert!(pool.send("s0", SECOND, None, 1000.0, 0.0));
+        assert!(pool.send("s0", SECOND, None, 1000.0, None, 0.0));
         loop {
             match noted.recv().await.unwrap() {
                 Note::Free { link, first } => pool.free(link, first, 0.0),
@@ -255,7 +255,7 @@
         let (mut pool, mut noted) = pool(reports);
         let (listing, addr) = up(server.addr);
         pool.relist(&listing, addr);
-        assert!(pool.send("s0", Errand::Probe(1), None, 1000.0, 0.0));
+        assert!(pool.send("s0", Errand::Probe(1), None, 1000.0, None, 0.0));
         let Some(Note::Free { link, first }) = noted.recv().await else { panic!("it never came up") };
         pool.free(link, first, 0.0);
         let Some(Note::Ended { ending, load, .. }) = noted.recv().await else { panic!("it never ended") };
@@ -298,7 +298,7 @@
     alone(async {
         let server = Server::start(Does::Serves);
         let (mut pool, mut noted) = idling(&server).await;
-        assert!(pool.send("s0", SECOND, None, 1000.0, 0.0));
+        assert!(pool.send("s0", SECOND, None, 1000.0, None, 0.0));
         assert_eq!(pool.stop("s0", SECOND), Stopped::Unwritten);
         assert!(matches!(noted.recv().await, Some(Note::Over { .. })));
         until("it is closed", || server.seen.lock().unwrap().ended == [0]);
@@ -315,9 +315,9 @@
         let new = closed.local_addr().unwrap();
         drop(closed);
         pool.relist(&listing, old);
-        assert!(pool.send("s0", FIRST, None, 1000.0, 0.0));
+        assert!(pool.send("s0", FIRST, None, 1000.0, None, 0.0));
         assert_eq!(pool.relist(&listing, new), [FIRST]);
-        assert!(pool.send("s0", SECOND, None, 1000.0, 0.0));
+        assert!(pool.send("s0", SECOND, None, 1000.0, None, 0.0));
         let Some(Note::NotUp { link }) = noted.recv().await else { panic!("it is refused") };
         assert_eq!(pool.not_up(&link), Some(SECOND));
     });
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -90,6 +90,8 @@
     Silent,
     /// Ends the connection once the query has come.
     Resets,
+    /// Ends the connection once the query has come; from then on as [`Does::NeverUp`].
+    ResetsForGood,
     /// Ends in the midst of the row.
     CutsShort,
     /// Answers what is no message.
@@ -158,7 +160,11 @@
             let id = text.split("id=").nth(1).map_or("", |rest| rest.split([',', ' ']).next().unwrap());
             let good = [&row(id.as_bytes()), READY].concat();
             seen.lock().unwrap().queries.push((number, text.clone()));
-            let does = *does.lock().unwrap();
+            let does = {
+                let mut does = does.lock().unwrap();
+                let never_up = if *does == Does::ResetsForGood { Does::NeverUp } else { *does };
+                std::mem::replace(&mut *does, never_up)
+            };
             let answer = match does {
                 Does::Serves | Does::ServesOnce | Does::NeverUp => good,
                 Does::ServesAfter(ms) => {
@@ -185,7 +191,7 @@
                 }
                 Does::EndsWith(code) => error(code),
                 Does::Silent => continue,
-                Does::Resets => Vec::new(),
+                Does::Resets | Does::ResetsForGood => Vec::new(),
                 Does::CutsShort => good[..good.len() / 2].to_vec(),
                 Does::Babbles => b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec(),
                 Does::Endless => [message(b'T', b"\0\x01")[..5].to_vec(), vec![0x7f; 1 << 20]].concat(),
@@ -198,7 +204,8 @@
                 .concat(),
             };
             stream.write_all(&answer).ok()?;
-            if matches!(does, Does::Resets | Does::CutsShort | Does::EndsWith(_) | Does::ServesOnce) {
+            let ends = [Does::Resets, Does::ResetsForGood, Does::CutsShort, Does::ServesOnce].contains(&does);
+            if ends || matches!(does, Does::EndsWith(_)) {
                 return stream.shutdown(Shutdown::Both).ok();
             }
         }
@@ -265,6 +272,7 @@
     pub calls: Arc<Mutex<Vec<(String, String)>>>,
     pub says: Arc<Mutex<Reply>>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
+    begun: Arc<AtomicU32>,
 }
 
 impl Service {
@@ -272,8 +280,11 @@
         let says: Arc<Mutex<Reply>> = Arc::new(Mutex::new(Box::new(says)));
         let (calls, streams) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
         let (said, noted, kept) = (says.clone(), calls.clone(), streams.clone());
+        let begun = Arc::new(AtomicU32::new(0));
+        let counted = begun.clone();
         let addr = listen(move |mut stream, _| {
             while let Some((line, body)) = read_call(&mut stream) {
+                counted.fetch_add(1, SeqCst);
                 // Held from the answer to the stream's place among those that are told: a change made in
                 // between would be neither in the answer nor told.
                 let mut streams = kept.lock().unwrap();
@@ -293,7 +304,12 @@
                 }
             }
         });
-        Service { addr, calls, says, streams }
+        Service { addr, calls, says, streams, begun }
+    }
+
+    /// Calls that have come, answered or not.
+    pub fn begun(&self) -> u32 {
+        self.begun.load(SeqCst)
     }
 
     pub fn set(&self, says: impl Fn(&str) -> Says + Send + 'static) {
--- a/crates/wire/src/lines.rs
+++ b/crates/wire/src/lines.rs
@@ -256,7 +256,7 @@
 pub fn outgoing(action: &Action, out: &mut impl Write) -> io::Result<()> {
     let seconds = |ms: Ms| ms / MS_PER_S;
     match action {
-        Action::Submit { id, instance, limit } => {
+        Action::Submit { id, instance, limit, .. } => {
             write!(out, "PASS_ON handle={id} instance={instance}")?;
             if let Some(limit) = limit {
                 write!(out, " max-wait-s={}", seconds(*limit))?;
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -52,7 +52,7 @@
 }
 
 #[rstest]
-#[case(Action::Submit { id: 7, instance: "a:1".into(), limit: Some(80.0) }, "PASS_ON handle=7 instance=a:1 max-wait-s=0.08")]
+#[case(Action::Submit { id: 7, instance: "a:1".into(), limit: Some(80.0), write_within: None }, "PASS_ON handle=7 instance=a:1 max-wait-s=0.08")]
 #[case(Action::Decline { id: 7, come_back: Some(500.0) }, "DENY handle=7 retry-after-s=0.5")]
 #[case(Action::Decline { id: 7, come_back: None }, "DENY handle=7")]
 #[case(Action::Void { id: 7 }, "FAIL handle=7")]
--- a/src/api.rs
+++ b/src/api.rs
@@ -53,8 +53,9 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send the txn to an instance; no limit: until the client gives up.
-    Submit { id: TxnId, instance: String, limit: Option<Ms> },
+    /// Send the txn to an instance; no limit: until the client gives up. What is not written whole `write_within` so
+    /// long is not sent at all: the instance would not drop it as a repeat any more.
+    Submit { id: TxnId, instance: String, limit: Option<Ms>, write_within: Option<Ms> },
     /// Final answer: not done, trying again is harmless.
     Decline { id: TxnId, come_back: Option<Ms> },
     /// Final answer: failed, with no promise as to its effect.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -470,6 +470,12 @@
     }
 }
 
+/// How long a referenced txn that may have run is still dropped as a repeat, from its first submission on.
+fn repeat_within(txn: &Txn, product: &Product, now: Ms) -> Option<Ms> {
+    let first = txn.may_have_run().map(|sub| sub.sent).min_by(f64::total_cmp);
+    first.filter(|_| product.effect == Effect::Referenced).map(|at| at + product.remember - MARGIN - now)
+}
+
 pub struct Choice {
     zone: String,
     products: Vec<Product>,
@@ -699,7 +705,7 @@
         let repeatable = |sub: &Submission| match product.effect {
             Effect::InquiryLike => true,
             Effect::OnceOnly => false,
-            Effect::Referenced => dropped(sub) && now - sub.sent < product.remember - MARGIN,
+            Effect::Referenced => dropped(sub),
         };
         !txn.answered
             && !txn.streaming
@@ -707,6 +713,7 @@
             && txn.submissions.len() < self.permits.submissions
             && (txn.outstanding() == 0 || self.permits.second_copies)
             && txn.may_have_run().all(repeatable)
+            && repeat_within(txn, product, now).is_none_or(|left| left > 0.0)
             && s.ready[i]
             && (s.cold_part[i] >= 1.0 || self.fleet.warmth(i, now) >= 1.0)
             && self.exposure.admits(txn, product.effect, s.build[i], self.fleet.lowest, now)
@@ -724,7 +731,8 @@
         s.cold_part[i] -= if warmth < 1.0 { 1.0 } else { 0.0 };
         // What is late helps nobody: a limit lets servers drop it unbegun.
         let limit = Some((txn.in_time - now).max(MARGIN));
-        self.desk.out.push(Action::Submit { id, instance: s.id[i].clone(), limit });
+        let write_within = repeat_within(txn, &self.products[txn.product], now);
+        self.desk.out.push(Action::Submit { id, instance: s.id[i].clone(), limit, write_within });
         self.exposure.note_send(sub.build, txn.product, now, 2.0 * self.exposure.terms.window);
         self.desk.txns.entry(id).and_modify(|txn| txn.submissions.push(sub));
         true
