A list asked for before a newer one was told does not replace it; lists may come indented

Now `order` (pure) tells the newer one by version, by whether another call has told since, and by whether it is whole; what is not newer ends its call and is asked for anew, from version 0 where changes fit no list held. Of two watches the one that has told goes on. `proto/json.rs` splits the stream into objects in one pass, bounded in length and depth, and sees a cut-off one where the next begins.

Refuted: a lower version is not always older. A count begun anew is taken over from a call made after the list held.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use crate::net::platform::Vote;
 use crate::net::servers::{Errand, Pool, Stopped};
 use crate::net::{Answer, CROSSING, NOTES_HELD, Note, list_kind};
+use crate::order::{Order, order};
 use crate::proto::pg::{self, Statement};
 use bytes::Bytes;
 use latchhaven::api::{Action, Connections, Ending, Event, ListKind, Load, Ms, Reports, StageNews};
@@ -65,7 +66,6 @@
     Wake(String),
     /// The gateway stops waiting for an errand.
     Limit(Errand),
-}
     /// What was not written by now may not be written any more.
     Unwritten(Errand),
 }
@@ -78,6 +78,7 @@
     told: bool,
     /// How many lists had been taken over when it was made, or when it last told.
     lists: u64,
+}
 
 pub struct Gateway {
     choice: Choice,
@@ -95,11 +96,13 @@
     news: Option<(StageNews, Ms)>,
     list_addr: SocketAddr,
     version: u64,
-    /// The calls for the list that are out, by number; after a move the earlier watch goes on until the new one tells.
-    watch: Option<(u64, AbortHandle)>,
-    leaving: Option<(u64, AbortHandle)>,
-    fetching: Option<(u64, AbortHandle)>,
+    /// The calls for the list that are out; after a move the earlier watch goes on until the new one tells.
+    watch: Option<Call>,
+    leaving: Option<Call>,
+    fetching: Option<Call>,
     called: u64,
+    /// How many lists were taken over.
+    lists: u64,
     votes: mpsc::Sender<Vote>,
     notes: mpsc::Sender<Note>,
 }
@@ -126,6 +129,7 @@
             leaving: None,
             fetching: None,
             called: 0,
+            lists: 0,
             votes,
             notes,
         }
@@ -214,26 +218,7 @@
                     self.ended(errand, ending, value, load, events);
                 }
             }
-            Note::List { call, list } => {
-                let is = |out: &Option<(u64, AbortHandle)>| out.as_ref().is_some_and(|(n, _)| *n == call);
-                let (new, old) = (is(&self.watch) || is(&self.fetching), is(&self.leaving));
-                match list {
-                    Some(list) if new || old => {
-                        // Both would tell the same, and the earlier one later.
-                        self.leaving.take_if(|_| new).inspect(|(_, earlier)| earlier.abort());
-                        COUNTERS.list_changes.add();
-                        tracing::debug!(list.version, list.whole, entries = list.entries.len(), "list: told");
-                        let event = self.listed(list_kind(list.whole), list);
-                        events.push(event);
-                    }
-                    None if new => {
-                        let (kind, version) = (ListKind::Failed, self.version);
-                        events.push(Event::Fleet { kind, version, entries: Vec::new() });
-                    }
-                    // Called before a move, or before a later call.
-                    _ => {}
-                }
-            }
+            Note::List { call, list } => self.hear_list(call, list, events),
             Note::Moved { list } => self.moved(list),
             Note::Stage(stage) => {
                 let stage = self.staged(stage);
@@ -254,9 +239,41 @@
         }
     }
 
+    /// A call for the list has told something, or failed.
+    fn hear_list(&mut self, number: u64, list: Option<List>, events: &mut Vec<Event>) {
+        let is = |out: &Option<Call>| out.as_ref().is_some_and(|out| out.number == number);
+        let new = is(&self.watch) || is(&self.fetching);
+        let calls = [&mut self.watch, &mut self.fetching, &mut self.leaving];
+        // Others were made before a move, or before a later call.
+        let Some(Some(out)) = calls.into_iter().find(|out| is(out)) else { return };
+        if let Some(list) = list {
+            match order(self.version, list.version, list.whole, out.lists < self.lists) {
+                Order::Newer => {
+                    (out.told, out.lists) = (true, self.lists + 1);
+                    // Both would tell the same, and the earlier one later.
+                    self.leaving.take_if(|_| new).inspect(|earlier| earlier.task.abort());
+                    COUNTERS.list_changes.add();
+                    tracing::debug!(list.version, list.whole, entries = list.entries.len(), "list: told");
+                    let event = self.listed(list_kind(list.whole), list);
+                    return events.push(event);
+                }
+                Order::Older => {}
+                // What it changes is not known here: the whole list has to come.
+                Order::Gapped => self.version = 0,
+            }
+            tracing::info!(list.version, list.whole, "list: not newer than the one held, asked for anew");
+            COUNTERS.list_failures.add();
+            out.task.abort();
+        }
+        if new {
+            let (kind, version) = (ListKind::Failed, self.version);
+            events.push(Event::Fleet { kind, version, entries: Vec::new() });
+        }
+    }
+
     /// Takes over a list; what was not yet written to an instance that changed is decided anew.
     fn listed(&mut self, kind: ListKind, list: List) -> Event {
-        self.version = list.version;
+        (self.version, self.lists) = (list.version, self.lists + 1);
         let mut back = Vec::new();
         if kind != ListKind::Changes {
             let here = |id: &String| list.entries.iter().any(|(listing, _)| listing.instance == *id);
@@ -313,6 +330,7 @@
             match due {
                 Due::Wake(token) => events.push(Event::Timer { token }),
                 Due::Limit(errand) => self.stop(errand, Ending::NoAnswer, events),
+                Due::Unwritten(errand) => self.take_back(errand, events),
             }
         }
     }
@@ -330,29 +348,11 @@
         let Some(instance) = instance else { return };
         match self.pool.stop(&instance, errand) {
             Stopped::Written => self.ended(errand, ending, None, Load::new(), events),
-                Due::Unwritten(errand) => self.take_back(errand, events),
             Stopped::Unwritten => self.ended(errand, Ending::NotSent, None, Load::new(), events),
             Stopped::Unknown => drop(must!(false, "what has not ended is out somewhere")),
         }
     }
 
-    /// A submission that has not ended.
-    fn sent(&mut self, id: u32, n: u32) -> Option<&mut Sent> {
-        self.open.get_mut(&id)?.submissions.get_mut(n as usize).filter(|sent| !sent.ended)
-    }
-
-    /// The one ending of an errand. The first value goes to the client at once.
-    fn ended(
-        &mut self, errand: Errand, ending: Ending, value: Option<[Bytes; 3]>, load: Load,
-        events: &mut Vec<Event>,
-    ) {
-        let now = self.clock.now();
-        let (id, n) = match errand {
-            Errand::Submission { id, n } => (id, n),
-            Errand::Probe(number) => {
-                let Some((instance, at)) = self.probes.remove(&number) else { return };
-                let report = value.as_ref().filter(|_| self.connections.reports == Reports::InProbes);
-                let load = report.and_then(|[_, row, _]| pg::text_of(row)).map(pg::load).unwrap_or(load);
     /// Gives up an errand if its last byte was not written yet.
     fn take_back(&mut self, errand: Errand, events: &mut Vec<Event>) {
         let Errand::Submission { id, n } = errand else { return };
@@ -374,6 +374,23 @@
         self.forget(id);
     }
 
+    /// A submission that has not ended.
+    fn sent(&mut self, id: u32, n: u32) -> Option<&mut Sent> {
+        self.open.get_mut(&id)?.submissions.get_mut(n as usize).filter(|sent| !sent.ended)
+    }
+
+    /// The one ending of an errand. The first value goes to the client at once.
+    fn ended(
+        &mut self, errand: Errand, ending: Ending, value: Option<[Bytes; 3]>, load: Load,
+        events: &mut Vec<Event>,
+    ) {
+        let now = self.clock.now();
+        let (id, n) = match errand {
+            Errand::Submission { id, n } => (id, n),
+            Errand::Probe(number) => {
+                let Some((instance, at)) = self.probes.remove(&number) else { return };
+                let report = value.as_ref().filter(|_| self.connections.reports == Reports::InProbes);
+                let load = report.and_then(|[_, row, _]| pg::text_of(row)).map(pg::load).unwrap_or(load);
                 return events.push(Event::Probed { instance, ending, took: now - at, load });
             }
         };
@@ -424,7 +441,7 @@
             Action::Probe { instance } => self.probe(instance),
             Action::CloseIdle { instance } => self.pool.close_idle(&instance),
             Action::Watch { on } => {
-                self.watch.take().inspect(|(_, watch)| watch.abort());
+                self.watch.take().inspect(|watch| watch.task.abort());
                 if on {
                     self.watch();
                 }
@@ -440,17 +457,20 @@
         }
     }
 
+    fn call(&mut self, task: impl Future<Output = ()> + 'static) -> Option<Call> {
+        let task = tokio::task::spawn_local(task).abort_handle();
+        Some(Call { number: self.called, task, told: false, lists: self.lists })
+    }
+
     fn watch(&mut self) {
         self.called += 1;
-        let watch = list::watch(self.list_addr, self.version, self.called, self.notes.clone());
-        self.watch = Some((self.called, tokio::task::spawn_local(watch).abort_handle()));
+        self.watch = self.call(list::watch(self.list_addr, self.version, self.called, self.notes.clone()));
     }
 
     fn fetch(&mut self) {
         self.called += 1;
-        let fetch = list::fetch(self.list_addr, self.called, self.notes.clone());
-        let earlier = self.fetching.replace((self.called, tokio::task::spawn_local(fetch).abort_handle()));
-        earlier.inspect(|(_, fetch)| fetch.abort());
+        let fetch = self.call(list::fetch(self.list_addr, self.called, self.notes.clone()));
+        std::mem::replace(&mut self.fetching, fetch).inspect(|earlier| earlier.task.abort());
     }
 
     /// Calls that are out, or were to be made again later, go to the new address at once.
@@ -459,11 +479,17 @@
             return;
         }
         if let Some(watch) = self.watch.take() {
-            let earlier = self.leaving.replace(watch);
-            earlier.inspect(|(_, watch)| watch.abort());
+            // Of two that are out the one that has told goes on: the other one may never tell anything.
+            let earlier = self.leaving.take().filter(|earlier| !earlier.task.is_finished());
+            let (goes_on, ends) = match earlier {
+                Some(earlier) if !watch.told => (earlier, Some(watch)),
+                earlier => (watch, earlier),
+            };
+            ends.inspect(|ends| ends.task.abort());
+            self.leaving = Some(goes_on);
             self.watch();
         }
-        if self.fetching.as_ref().is_some_and(|(_, fetch)| !fetch.is_finished()) {
+        if self.fetching.as_ref().is_some_and(|fetch| !fetch.task.is_finished()) {
             self.fetch();
         }
     }
@@ -477,6 +503,7 @@
 
     fn submit(&mut self, id: u32, instance: String, limit: Option<Ms>, write_within: Option<Ms>) {
         let now = self.clock.now();
+        let by = write_within.map(|within| now + within);
         let Some(open) = self.open.get_mut(&id) else {
             must!(false, "only open txns are sent on");
             return;
@@ -490,6 +517,7 @@
         let at = by.map(|by| self.clock.instant(by));
         if wanted && self.pool.send(&instance, errand, Some(statement), until, at, now) {
             self.remind(until, Due::Limit(errand));
+            by.filter(|by| *by < until).into_iter().for_each(|by| self.remind(by, Due::Unwritten(errand)));
         } else {
             self.hand_back(vec![errand]);
         }
@@ -504,7 +532,6 @@
         let allowed = must!(self.connections.probes, "probes only where allowed");
         if allowed && self.pool.send(&instance, errand, None, until, None, now) {
             self.remind(until, Due::Limit(errand));
-        let by = write_within.map(|within| now + within);
         } else {
             self.hand_back(vec![errand]);
         }
@@ -517,7 +544,6 @@
         Ending::Error => &COUNTERS.sub_error,
         Ending::TurnedAway => &COUNTERS.sub_turned_away,
         Ending::NoAnswer => &COUNTERS.sub_no_answer,
-            by.filter(|by| *by < until).into_iter().for_each(|by| self.remind(by, Due::Unwritten(errand)));
         Ending::NoConnection => &COUNTERS.sub_no_connection,
         Ending::ConnectionLost => &COUNTERS.sub_lost,
         Ending::Recalled => &COUNTERS.sub_recalled,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod counters;
 pub mod gateway;
 pub mod net;
+pub mod order;
 pub mod proto;
 pub mod serve;
--- a/crates/gateway/src/net/list.rs
+++ b/crates/gateway/src/net/list.rs
@@ -3,6 +3,7 @@
 use super::{DIAL, LIST_CALL, LIST_SILENCE, Note, read_some, write_all};
 use crate::counters::COUNTERS;
 use crate::proto::http::{self, Body, Part, Reader};
+use crate::proto::json::{Piece, Pieces};
 use bytes::BytesMut;
 use latchhaven::api::{Build, Listing, Standing};
 use serde::Deserialize;
@@ -122,7 +123,7 @@
     addr: SocketAddr, path: &str, after: u64, number: u64, notes: &mpsc::Sender<Note>,
 ) -> Result<(), String> {
     let stream = call(addr, path).await.map_err(|fault| fault.to_string())?;
-    let (mut reader, mut body, mut buf) = (Reader::default(), Body::default(), BytesMut::new());
+    let (mut reader, mut pieces, mut buf) = (Reader::default(), Pieces::default(), BytesMut::new());
     let (mut answered, mut silence, mut heard) = (false, LIST_CALL, Instant::now());
     loop {
         let part = reader.next(&mut buf).map_err(|fault| fault.to_string())?;
@@ -131,15 +132,15 @@
             Some(Part::Head { status, .. }) => return Err(format!("status {status}")),
             Some(Part::End) => return Ok(()),
             Some(Part::Body(piece)) => {
-                body.add(&piece).map_err(|fault| fault.to_string())?;
-                while let Some(line) = body.line() {
-                    // Only whole lines are signs of life: one that never ends is none.
+                pieces.add(&piece).map_err(|fault| fault.to_string())?;
+                while let Some(piece) = pieces.piece().map_err(|fault| fault.to_string())? {
+                    // Only whole lines and lists are signs of life: one that never ends is none.
                     heard = Instant::now();
-                    let list = match line.trim_ascii() {
+                    let list = match piece {
                         // The call is answered all the same where nothing has changed.
-                        b"" if answered => continue,
-                        b"" => List { version: after, whole: false, entries: Vec::new() },
-                        line => read(line)?,
+                        Piece::LineEnd if answered => continue,
+                        Piece::LineEnd => List { version: after, whole: false, entries: Vec::new() },
+                        Piece::Object(list) => read(&list)?,
                     };
                     answered = true;
                     let _ = notes.send(Note::List { call: number, list: Some(list) }).await;
--- a/crates/gateway/tests/parsers.rs
+++ b/crates/gateway/tests/parsers.rs
@@ -2,7 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 use latchhaven_gateway::net::{list, platform};
+use latchhaven_gateway::order::{Order, order};
 use latchhaven_gateway::proto::http::{self, Body, Part, Reader};
+use latchhaven_gateway::proto::json::{Piece, Pieces};
 use latchhaven_gateway::proto::pg::{self, Asked, Backend, Broken, Frontend, Told};
 use rstest::rstest;
 use std::fmt::Debug;
@@ -341,3 +343,58 @@
 fn a_spoilt_list_tells_nothing(#[case] text: &str) {
     assert!(list::read(text.as_bytes()).is_err());
 }
+
+#[test]
+fn objects_are_read_alike_however_they_are_spread_and_split() {
+    let text = "\r\n  {\"a\":[{\"b\":\"}{\\\"\\\\\"},\r\n\t{\"c\":{}}\n]}  {\"d\":1}\n";
+    let next = |pieces: &mut Pieces, buf: &mut BytesMut| {
+        pieces.add(&buf.split()).unwrap();
+        pieces.piece().unwrap()
+    };
+    let got = at_every_split(text.as_bytes(), Pieces::default, next, |got| got);
+    let object = |text: &'static str| Piece::Object(Bytes::from_static(text.as_bytes()));
+    let first = object("{\"a\":[{\"b\":\"}{\\\"\\\\\"},\r\n\t{\"c\":{}}\n]}");
+    assert_eq!(got, [Piece::LineEnd, first, object("{\"d\":1}"), Piece::LineEnd]);
+}
+
+#[rstest]
+#[case::no_object("x")]
+#[case::an_array("[]")]
+#[case::cut_off_before_the_next("{\"seq\":7,\n{\"seq\":8}")]
+#[case::cut_off_within_an_entry("{\"hosts\":[{\"host\":\"a\",{\"seq\":8}")]
+#[case::cut_off_within_a_text("{\"seq\":\"7\n")]
+#[case::another_bracket("{\"a\":[}")]
+#[case::too_deep("{\"a\":[[[[[[[[[[[[[[[[[[[[")]
+fn a_stream_out_of_step_is_told_so(#[case] text: &str) {
+    let mut pieces = Pieces::default();
+    pieces.add(text.as_bytes()).unwrap();
+    assert!(pieces.piece().is_err(), "{text}");
+}
+
+#[test]
+fn what_only_sets_objects_apart_is_not_held_and_an_endless_object_is_refused() {
+    let mut pieces = Pieces::default();
+    for _ in 0..40 {
+        pieces.add(&[b' '; 100_000]).unwrap();
+        assert_eq!(pieces.piece(), Ok(None));
+    }
+    pieces.add(b"{\"a\":\"").unwrap();
+    let endless = (0..20).try_for_each(|_| {
+        pieces.add(&[b'x'; 100_000])?;
+        pieces.piece().map(|piece| assert_eq!(piece, None))
+    });
+    assert_eq!(endless, Err(http::Broken::TooLong));
+}
+
+#[rstest]
+#[case::the_next_change(41, 42, false, false, Order::Newer)]
+#[case::the_same_again(41, 41, true, true, Order::Newer)]
+#[case::an_answer_that_another_one_overtook(43, 41, true, true, Order::Older)]
+#[case::changes_that_another_one_overtook(43, 42, false, true, Order::Older)]
+#[case::a_count_begun_anew(41, 3, true, false, Order::Newer)]
+#[case::changes_to_what_was_never_held(41, 3, false, false, Order::Gapped)]
+fn of_two_lists_the_newer_one_stands(
+    #[case] held: u64, #[case] told: u64, #[case] whole: bool, #[case] crossed: bool, #[case] stands: Order,
+) {
+    assert_eq!(order(held, told, whole, crossed), stands);
+}
--- a/crates/program/tests/endings.rs
+++ b/crates/program/tests/endings.rs
@@ -248,6 +248,114 @@
     gateway.reconfigure(&config.to_string());
 }
 
+#[test]
+fn a_list_asked_for_before_a_newer_one_was_told_does_not_replace_it() {
+    let (old, new) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    let gateway = Gateway::watching(&[&old], |_| ());
+    let earlier = list(6, true, &[host("s0", old.addr, "up", 1)]);
+    let (late, let_go) = held_back(format!("{STREAM}{}", line(&earlier)));
+    move_list(&gateway, &late);
+    until("it is asked there", || late.begun() == 1);
+    gateway.list.tell(&list(7, true, &[host("s1", new.addr, "up", 1)]));
+    until("the newer one is told", || gateway.counter("list_changes") == 2);
+    let_go.send(()).unwrap();
+    until("the older one has come", || gateway.logged("not newer than the one held"));
+    for n in 0..4 {
+        assert_eq!(
+            outcome(&gateway.client().ask(&select(&format!("a{n}"), "look", 1900))),
+            Ok(format!("a{n}"))
+        );
+    }
+    assert_eq!((old.queries().len(), new.queries().len()), (0, 4));
+    // It is asked for anew, from the version held.
+    drop(let_go);
+    until("it is asked anew", || late.count("after=7 ") > 0);
+}
+
+#[test]
+fn a_list_whose_count_begins_anew_is_taken_over() {
+    let (old, new) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    let gateway = Gateway::watching(&[&old], |_| ());
+    let anew = list(2, true, &[host("s1", new.addr, "up", 1)]);
+    gateway.list.set(move |_| Says::Bytes(format!("{STREAM}{}", line(&anew))));
+    gateway.list.end_streams();
+    until("it is taken over", || gateway.counter("list_changes") == 2);
+    assert_eq!(outcome(&gateway.client().ask(&select("a1", "look", 1900))), Ok("a1".to_string()));
+    assert_eq!((old.queries().len(), new.queries().len()), (0, 1));
+    // Changes to it are counted from there.
+    gateway.list.tell(&list(3, false, &[host("s1", new.addr, "draining", 1), host("s0", old.addr, "up", 1)]));
+    until("the change is told", || gateway.counter("list_changes") == 3);
+    assert_eq!(outcome(&gateway.client().ask(&select("a2", "look", 1900))), Ok("a2".to_string()));
+    assert_eq!((old.queries().len(), new.queries().len()), (1, 1));
+}
+
+#[test]
+fn changes_to_a_list_that_was_never_held_are_not_taken_over() {
+    let (old, new) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    let gateway = Gateway::watching(&[&old], |_| ());
+    let whole = list(2, true, &[host("s1", new.addr, "up", 1)]);
+    gateway.list.set(move |call| match call.contains("after=0 ") {
+        true => Says::Bytes(format!("{STREAM}{}", line(&whole))),
+        false => Says::Bytes(format!("{STREAM}{}", line(&list(1, false, &[])))),
+    });
+    gateway.list.end_streams();
+    until("the whole one is told", || gateway.counter("list_changes") == 2);
+    assert_eq!(outcome(&gateway.client().ask(&select("a1", "look", 1900))), Ok("a1".to_string()));
+    assert_eq!((old.queries().len(), new.queries().len()), (0, 1));
+}
+
+#[test]
+fn moved_twice_the_watch_that_tells_goes_on_until_another_one_does() {
+    let (old, new) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    let gateway = Gateway::watching(&[&old], |_| ());
+    until("it has told", || gateway.counter("list_changes") == 1);
+    let mute: Vec<Service> = (0..2).map(|_| Service::start(|_| Says::Nothing)).collect();
+    for service in &mute {
+        move_list(&gateway, service);
+        until("it is asked there", || service.count("watch") == 1);
+    }
+    gateway.list.tell(&list(6, true, &[host("s1", new.addr, "up", 1)]));
+    until("the change is told", || gateway.counter("list_changes") == 2);
+    assert_eq!(outcome(&gateway.client().ask(&select("a1", "look", 1900))), Ok("a1".to_string()));
+    assert_eq!((old.queries().len(), new.queries().len()), (0, 1));
+}
+
+#[test]
+fn a_list_may_come_over_many_lines_and_a_cut_off_one_ends_the_watch() {
+    let (old, new) = (Server::start(Does::Serves), Server::start(Does::Serves));
+    let gateway = Gateway::watching(&[&old], |_| ());
+    let change = list(6, true, &[host("s1", new.addr, "up", 1)]);
+    let text = format!("\n{}\n", serde_json::to_string_pretty(&change).unwrap());
+    text.lines().for_each(|line| gateway.list.write(&chunk(&format!("{line}\r\n"))));
+    until("it is told", || gateway.counter("list_changes") == 2);
+    assert_eq!(outcome(&gateway.client().ask(&select("a1", "look", 1900))), Ok("a1".to_string()));
+    assert_eq!((old.queries().len(), new.queries().len()), (0, 1));
+    gateway.list.write(&chunk(&format!("{}\n{change}\n", &change.to_string()[..40])));
+    until("it is asked for anew", || gateway.list.count("after=6 ") == 1);
+}
+
+#[test]
+fn an_address_that_is_held_a_moment_longer_is_waited_for() {
+    let server = Server::start(Does::Serves);
+    let mut first = Gateway::start(&[&server]);
+    let mut config = first.config.clone();
+    config["listen"] = json!(first.addr.to_string());
+    let (mut second, log, ..) = spawn(&config.to_string());
+    // It has begun, and the address is not free yet.
+    let begun = format!("/proc/{}/net/tcp", second.id());
+    until("it has begun", || std::path::Path::new(&begun).exists());
+    thread::sleep(Duration::from_millis(100));
+    assert!(second.try_wait().unwrap().is_none(), "{:?}", log.lock().unwrap());
+    first.signal("KILL");
+    first.ended();
+    let mut client = Client::connect(listening(&log));
+    client.send(&startup());
+    client.answer();
+    assert_eq!(outcome(&client.ask(&select("a1", "look", 1900))), Ok("a1".to_string()));
+    second.kill().unwrap();
+    second.wait().unwrap();
+}
+
 #[test]
 fn a_half_closed_client_behind_unread_bytes_is_gone() {
     let stuck = Server::start(Does::NeverUp);
