An address that the gateway before still holds is waited for up to 5 s at the start

Seen: started while the killed one's sockets were not gone yet, the program ended with "listen: address in use", which counts as a crash (serve.rs, `listen`). Any other fault still ends the start at once, and 5 s leave room within the 10 s in which a restart is to be ready.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -15,21 +15,38 @@
 use tokio::select;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Connections that the machine accepts before this program does.
 const BACKLOG: u32 = 1024;
 /// How often the last connections are looked at while stopping.
 const LOOK: Duration = Duration::from_millis(5);
+/// A gateway that was killed starts again under its address, which the one before may hold for a moment yet: it is
+/// tried again so often, and for so long at most, well within the 10 s in which a restart is to be ready.
+const BIND_AGAIN: Duration = Duration::from_millis(20);
+const BIND_WITHIN: Duration = Duration::from_secs(5);
 
 fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    // A gateway that was killed starts again under its address.
+    // Connections of the one before linger there.
     socket.set_reuseaddr(true)?;
     socket.bind(addr)?;
     socket.listen(BACKLOG)
 }
 
+async fn listen_soon(addr: SocketAddr) -> io::Result<TcpListener> {
+    let start = Instant::now();
+    loop {
+        match listen(addr) {
+            Err(fault) if fault.kind() == io::ErrorKind::AddrInUse && start.elapsed() < BIND_WITHIN => {
+                sleep(BIND_AGAIN).await;
+            }
+            Err(fault) => return Err(io::Error::new(fault.kind(), format!("listen: {addr}: {fault}"))),
+            listener => return listener,
+        }
+    }
+}
+
 /// Serves until SIGTERM or SIGINT, within a `LocalSet` on a runtime of one thread. `counted`: so often the counters are
 /// logged unasked, at the first time after a part of it that the seed draws, lest hundreds of gateways log at once.
 ///
@@ -42,8 +59,7 @@
     let (mut asked, mut again) = (signal(SignalKind::user_defined1())?, signal(SignalKind::hangup())?);
     let env = |name: &str| std::env::var(name).ok();
     let (addresses, sockets, known, seed, terms) = config::read(env).map_err(io::Error::other)?;
-    let listener = listen(addresses.listen)
-        .map_err(|fault| io::Error::new(fault.kind(), format!("listen: {}: {fault}", addresses.listen)))?;
+    let listener = listen_soon(addresses.listen).await?;
 
     let (notes, noted) = mpsc::channel(NOTES_HELD);
     let (votes, cast) = mpsc::channel(VOTES_HELD);
@@ -112,6 +128,11 @@
     clients.accept_rest(&listener);
     drop(listener);
     clients.stop();
+    tracing::info!(
+        connections = clients.open(),
+        busy = clients.busy(),
+        "gateway stops: no more are accepted"
+    );
     while clients.open() > 0 && !gateway.is_finished() {
         sleep(LOOK).await;
     }
@@ -119,8 +140,3 @@
     tracing::info!("gateway ends");
     Ok(())
 }
-    tracing::info!(
-        connections = clients.open(),
-        busy = clients.busy(),
-        "gateway stops: no more are accepted"
-    );
