--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -104,6 +104,8 @@
     GarblesCode,
     /// A row that never ends.
     Endless,
+    /// Never stops telling parameters.
+    Floods,
     /// Serves, with notices and parameters between.
     Chats,
     /// Accepts connections and says nothing until it is to do something else; those that are up are served.
@@ -166,6 +168,11 @@
                 std::mem::replace(&mut *does, never_up)
             };
             let answer = match does {
+                Does::Floods => {
+                    let many = message(b'S', b"a\0b\0").repeat(10_000);
+                    while stream.write_all(&many).is_ok() {}
+                    return None;
+                }
                 Does::Serves | Does::ServesOnce | Does::NeverUp => good,
                 Does::ServesAfter(ms) => {
                     thread::sleep(Duration::from_millis(ms));
@@ -632,32 +639,3 @@
     });
     found.unwrap_or_else(|| Err(format!("neither row nor error in {answer:?}")))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::sync::mpsc;
-
-    /// The stream's place is taken slowly here, so that the line is told while its answer is being made.
-    #[test]
-    fn a_line_told_while_a_stream_begins_reaches_it() {
-        let (answering, answered) = mpsc::channel();
-        let service = Service::start(move |_| {
-            answering.send(()).unwrap();
-            thread::sleep(Duration::from_millis(50));
-            Says::Bytes(STREAM.to_string())
-        });
-        let mut stream = TcpStream::connect(service.addr).unwrap();
-        stream.write_all(b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
-        answered.recv().unwrap();
-        service.tell(&json!({"seq": 7}));
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        let mut read = Vec::new();
-        until("the line comes", || {
-            let mut piece = [0; 512];
-            let count = stream.read(&mut piece).unwrap();
-            read.extend(&piece[..count]);
-            String::from_utf8_lossy(&read).contains("\"seq\":7")
-        });
-    }
-}
