While stopping all that came is answered, late txns are declined at once, and pipelines end in a pause

Checked: a trace of each connection's end while stopping (unread bytes, ms since SIGTERM).

Now all is read. Stories: what_waits_behind_another_before_the_ process_is_killed_is_answered; the one on the last accept stands still past 0.6 s and now wants exactly 53300.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -207,6 +207,7 @@
                 }
                 self.closed(id);
             }
+            Note::GiveUp { id } => events.push(Event::GiveUp { id }),
             Note::Free { link, first } => self.pool.free(link, first, now),
             Note::NotUp { link } => {
                 if let Some(errand) = self.pool.not_up(&link) {
--- a/crates/gateway/src/net/clients.rs
+++ b/crates/gateway/src/net/clients.rs
@@ -2,9 +2,9 @@
 
 use super::{
     ACCEPT_AGAIN, ANSWER_SLOW, Answer, CLIENT_FAULTS, CLIENT_FIRST, CLIENT_HALF, CLIENT_IDLE,
-    CLIENT_IDLE_LEAST, CLIENT_SILENT_LEAST, CLIENT_STALL, GONE_LOOK, HEAD, HELD, LARGE_AT_ONCE, LAST_FIRST,
-    LAST_READS, LINGER, LINGER_BYTES, LOGGED_OF, Note, TURNED_AWAY_AT_ONCE, ended, read_at_most, read_some,
-    unread, write_all,
+    CLIENT_IDLE_LEAST, CLIENT_SILENT_LEAST, CLIENT_STALL, GONE_LOOK, HELD, KILL_AFTER, KILL_COUNTED,
+    LARGE_AT_ONCE, LAST_CLOSES, LAST_FIRST, LAST_TAKES, LINGER, LINGER_BYTES, LOGGED_OF, Note, QUIET,
+    TURNED_AWAY_AT_ONCE, ended, read_some, unread, write_all,
 };
 use crate::arrivals::Arrivals;
 use crate::counters::COUNTERS;
@@ -77,6 +77,8 @@
     came: Arrivals,
     /// When something was first seen that could not be read for want of room here.
     seen: Option<Ms>,
+    /// Its client writes queries behind others.
+    pipelined: bool,
 }
 
 impl Inbox {
@@ -105,14 +107,17 @@
     large: Semaphore,
     seated: Cell<u64>,
     txns: Cell<u32>,
-    /// Since when all stops.
-    stopped: Cell<Option<Instant>>,
+    /// Since when all stops, on both clocks.
+    stopped: Cell<Option<(Instant, Ms)>>,
+    /// How long after that the process may be killed, less a moment.
+    ends_within: Duration,
     clock: Clock,
     notes: mpsc::Sender<Note>,
 }
 
 impl Clients {
     pub fn new(most: usize, products: Vec<Product>, clock: Clock, notes: mpsc::Sender<Note>) -> Rc<Self> {
+        let longest = products.iter().map(|product| product.expiry).fold(0.0, f64::max);
         let keyed = |product: Product| (product.name, product.effect == Effect::Referenced);
         Rc::new(Clients {
             seats: RefCell::default(),
@@ -123,6 +128,7 @@
             seated: Cell::new(0),
             txns: Cell::new(0),
             stopped: Cell::new(None),
+            ends_within: Duration::from_secs_f64((longest.min(KILL_COUNTED) + KILL_AFTER) / 1000.0),
             clock,
             notes,
         })
@@ -211,7 +217,7 @@
     /// From now on a connection ends after its answer, or at once where nothing more is asked; one that has not
     /// asked yet gets a moment to do so.
     pub fn stop(&self) {
-        self.stopped.set(self.stopped.get().or(Some(Instant::now())));
+        self.stopped.set(self.stopped.get().or(Some((Instant::now(), self.clock.now()))));
         self.seats.borrow().values().for_each(|seat| seat.leave.notify_one());
     }
 
@@ -330,12 +336,17 @@
     async fn take(
         &self, stream: &TcpStream, seat: &Seat, inbox: &mut Inbox, statement: Rc<Statement>, came: Ms,
     ) -> io::Result<()> {
+        if self.comes_too_late(came) {
+            COUNTERS.txns.add();
+            COUNTERS.declined.add();
+            return write(stream, &[declined(None), Bytes::from_static(pg::READY)]).await;
+        }
         let number = self.txns.replace(self.txns.get().wrapping_add(1));
         let (reply, answer) = oneshot::channel();
         let id = statement.id.clone();
         self.ids.borrow_mut().insert(id.clone());
         let _ = self.notes.send(Note::Txn { id: number, statement, came, reply }).await;
-        let answered = self.answer(stream, seat, inbox, answer).await;
+        let answered = self.answer(stream, seat, inbox, number, answer).await;
         self.ids.borrow_mut().remove(&id);
         if answered.is_err() {
             let _ = self.notes.send(Note::Gone { id: number }).await;
@@ -358,18 +369,22 @@
         if Instant::now() >= until {
             return Ok(late);
         }
-        if asked && begun.is_none() && self.reads_no_more() {
+        // One that never leaves a moment without another txn is closed over it: the process is killed just then.
+        if self.stopped.get().is_some_and(|(since, _)| since.elapsed() >= self.ends_within + LAST_CLOSES) {
             return Ok(More::Closing);
         }
+        let (pipelined, entered) = (inbox.pipelined, Instant::now());
         let leaves = async {
             loop {
                 let wanted = match (seat.at.get(), self.stopped.get()) {
                     (At::Leaving, _) => return,
                     // While all stops the rest of a command is still waited for.
                     (_, Some(_)) if begun.is_some() => None,
+                    // Behind the last answer another query may be under way: only a pause tells that there is none.
+                    (_, Some(_)) if asked && pipelined => Some(entered + QUIET),
                     (_, Some(_)) if asked => return,
                     // One that has just come is about to ask.
-                    (_, Some(stopped)) => Some(stopped.max(seat.since.get()) + LAST_FIRST),
+                    (_, Some((since, _))) => Some(since.max(seat.since.get()) + LAST_FIRST),
                     (_, None) => None,
                 };
                 select! {
@@ -390,17 +405,18 @@
         }
     }
 
-    /// True where all stops and only what was begun is still read: what is read later could not be answered in time,
-    /// while what is not read at all is sent again elsewhere.
-    fn reads_no_more(&self) -> bool {
-        self.stopped.get().is_some_and(|stopped| stopped.elapsed() >= LAST_READS)
+    /// True where all stops and a txn came so late that it might not be answered before the process is killed.
+    fn comes_too_late(&self, came: Ms) -> bool {
+        self.stopped
+            .get()
+            .is_some_and(|(since, at)| came >= at + LAST_TAKES || since.elapsed() >= self.ends_within)
     }
 
-    /// Waits until nothing is read any more.
-    async fn last_reads(&self, seat: &Seat) {
+    /// Waits until the process is about to be killed.
+    async fn last_moment(&self, seat: &Seat) {
         loop {
             match self.stopped.get() {
-                Some(stopped) => return sleep_until(stopped + LAST_READS).await,
+                Some((since, _)) => return sleep_until(since + self.ends_within).await,
                 None => seat.leave.notified().await,
             }
         }
@@ -408,10 +424,6 @@
 
     /// Reads the rest of a command: on so many connections at once where it is long.
     async fn rest(&self, stream: &TcpStream, buf: &mut BytesMut) -> io::Result<usize> {
-        if self.reads_no_more() {
-            let whole = pg::length(buf).max(HEAD);
-            return read_at_most(stream, buf, whole.saturating_sub(buf.len()).max(1)).await;
-        }
         if buf.len() < HELD {
             return read_some(stream, buf).await;
         }
@@ -427,16 +439,23 @@
 
     /// Waits for the final answer and writes it; an error: the client has gone away.
     async fn answer(
-        &self, stream: &TcpStream, seat: &Seat, inbox: &mut Inbox, mut answer: oneshot::Receiver<Answer>,
+        &self, stream: &TcpStream, seat: &Seat, inbox: &mut Inbox, id: u32,
+        mut answer: oneshot::Receiver<Answer>,
     ) -> io::Result<()> {
+        let mut given_up = false;
         let given = loop {
             inbox.note(stream, self.clock.now());
-            let reads = inbox.buf.len() < HELD && !self.reads_no_more();
+            let (reads, behind) = (inbox.buf.len() < HELD, !inbox.buf.is_empty());
+            inbox.pipelined |= behind;
             let Inbox { buf, seen, .. } = inbox;
             select! {
                 biased;
                 given = &mut answer => break given,
-                () = self.last_reads(seat), if reads => {}
+                // What is behind this one has to be answered as well.
+                () = self.last_moment(seat), if behind && !given_up => {
+                    given_up = true;
+                    let _ = self.notes.send(Note::GiveUp { id }).await;
+                }
                 read = read_some(stream, buf), if reads => {
                     if read? == 0 {
                         return Err(io::ErrorKind::UnexpectedEof.into());
@@ -454,11 +473,7 @@
             Answer::Settled([described, row, complete]) => {
                 write(stream, &[described, row, complete, ready]).await
             }
-            Answer::Declined { come_back } => {
-                let after = come_back.map(|after| format!("{}", after.ceil()));
-                let error = pg::error(false, pg::TOO_MANY, "declined: trying again is harmless", after);
-                write(stream, &[error, ready]).await
-            }
+            Answer::Declined { come_back } => write(stream, &[declined(come_back), ready]).await,
             Answer::Voided => {
                 write(stream, &[pg::error(false, pg::INTERNAL, "voided: it may have run", None), ready]).await
             }
@@ -471,6 +486,12 @@
     }
 }
 
+/// What a client gets that may come again.
+fn declined(come_back: Option<Ms>) -> Bytes {
+    let after = come_back.map(|after| format!("{}", after.ceil()));
+    pg::error(false, pg::TOO_MANY, "declined: trying again is harmless", after)
+}
+
 /// Ends a connection so that what was told last arrives: closed at once over unread bytes, it would be reset, and a
 /// reset takes with it what the client has not read yet.
 async fn linger(stream: &TcpStream, seat: &Seat, end: End) {
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -5,7 +5,7 @@
 pub mod platform;
 pub mod servers;
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use latchhaven::api::{Ending, ListKind, Load, Ms, StageNews};
 use socket2::SockRef;
 use std::io::{self, IoSlice};
@@ -50,10 +50,18 @@
 /// While all stops, one that has not asked yet gets so long: the front hands connections out for 0.4 s, and what is
 /// asked later than 0.7 s after SIGTERM may not be answered in time.
 pub const LAST_FIRST: Duration = Duration::from_millis(250);
-/// So long after SIGTERM requests are read: what comes later than 0.7 s after it may not be answered before SIGKILL.
-pub const LAST_READS: Duration = Duration::from_millis(600);
-/// Bytes that tell a message's type and length.
-pub const HEAD: usize = 5;
+/// While all stops a client that writes queries behind others gets so long after its last answer: several times what
+/// one is under way within a site.
+pub const QUIET: Duration = Duration::from_millis(10);
+/// ms after SIGTERM from which a txn that comes is declined at once: one that came later than 0.7 s after it counts as
+/// lost where SIGKILL finds it unanswered.
+pub const LAST_TAKES: Ms = 600.0;
+/// SIGKILL comes no sooner than the longest time that clients wait, counted as the first at most, and 700 ms after
+/// SIGTERM; 250 ms of these are kept to give up what others wait behind, and to answer them.
+pub const KILL_COUNTED: Ms = 3000.0;
+pub const KILL_AFTER: Ms = 450.0;
+/// Of these so much goes to answering: a connection closes in the first moment in which nothing on it is unanswered.
+pub const LAST_CLOSES: Duration = Duration::from_millis(200);
 /// A connection on which no txn was taken by then ends: 3 s are allowed from its beginning.
 pub const CLIENT_FIRST: Duration = Duration::from_millis(2200);
 /// A client that asks nothing for so long is let go; for want of room the ones that idle longest go after the second.
@@ -99,6 +107,8 @@
     Txn { id: u32, statement: Rc<Statement>, came: Ms, reply: oneshot::Sender<Answer> },
     /// The client of a txn has gone away.
     Gone { id: u32 },
+    /// The process ends, and others wait behind this txn.
+    GiveUp { id: u32 },
     /// A connection to a server is up, or ready again.
     Free { link: Rc<servers::Link>, first: bool },
     /// A connection to a server never came up.
@@ -171,17 +181,6 @@
     }
 }
 
-/// The same, up to so many bytes.
-pub async fn read_at_most(stream: &TcpStream, buf: &mut BytesMut, most: usize) -> io::Result<usize> {
-    loop {
-        stream.readable().await?;
-        match stream.try_read_buf(&mut (&mut *buf).limit(most)) {
-            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {}
-            read => return read,
-        }
-    }
-}
-
 /// Writes pieces gathered; `Err` tells that the last byte was not written.
 pub async fn write_all(stream: &TcpStream, pieces: &[Bytes]) -> io::Result<()> {
     let (mut piece, mut from) = (0, 0);
--- a/src/api.rs
+++ b/src/api.rs
@@ -36,6 +36,8 @@
     Ended { id: TxnId, submission: u32, instance: String, ending: Ending, closed: bool, took: Ms, load: Load },
     /// The client went away; nothing is owed any more.
     ClientGone { id: TxnId },
+    /// The txn is to get its final answer now: the front ends.
+    GiveUp { id: TxnId },
     /// A timer came due.
     Timer { token: String },
     /// A probe ended.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -598,6 +598,7 @@
             Event::Ended { id, submission, ending, closed, took, .. } => {
                 self.ended(id, submission as usize, ending, closed, took, now);
             }
+            Event::GiveUp { id } => self.answer(id, now),
             Event::ClientGone { id } => self.close(id, 0.0, now),
             Event::Stage(news) if news.valid => self.exposure.hear(news),
             Event::Stage(news) => self.judge.stands &= !news.answer || news.unsure,
