A read that gave up its turn is not taken for silence; bad input is logged with its peer and why

Seen in a reading of the diff: `Clients::more` polls the read first, a full read now yields after the bytes are in the buffer, and while stopping the branch that closes is ready at once: what was just read would have been dropped with the connection. It looks at the buffer's length now. Log lines on bad input name the peer and the reason, one in a hundred of a kind at info, all at debug.

--- a/crates/gateway/src/arrivals.rs
+++ b/crates/gateway/src/arrivals.rs
@@ -1,4 +1,5 @@
-//! When the bytes of a connection came. A txn's time runs from its last byte, also while it waits behind others.
+//! When the bytes of a connection came: a txn's time runs from its last byte, also while it waits behind
+//! others.
 
 use latchhaven::api::Ms;
 use std::collections::VecDeque;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -364,8 +364,8 @@
         }
     }
 
-    /// A txn has its final answer, or its client has gone: what waits for a connection is sent no more, whether
-    /// the decisions may recall or not.
+    /// A txn has its final answer, or its client has gone: what waits for a connection is sent no more,
+    /// whether the decisions may recall or not.
     fn closed(&mut self, id: u32) {
         let count = self.open.get(&id).map_or(0, |open| open.submissions.len() as u32);
         let mut events = Vec::new();
--- a/crates/gateway/src/net/clients.rs
+++ b/crates/gateway/src/net/clients.rs
@@ -7,7 +7,7 @@
     TURNED_AWAY_AT_ONCE, ended, read_some, unread, write_all,
 };
 use crate::arrivals::Arrivals;
-use crate::counters::COUNTERS;
+use crate::counters::{COUNTERS, Count};
 use crate::gateway::Clock;
 use crate::must;
 use crate::proto::pg::{self, Asked, Frontend, Statement};
@@ -84,7 +84,8 @@
 impl Inbox {
     /// Notes what was read.
     fn note(&mut self, stream: &TcpStream, now: Ms) {
-        // All that waited unread counts as come with its first byte: a later one may have less time than thought.
+        // All that waited unread counts as come with its first byte: a later one may have less time than is
+        // right.
         self.came.hold(self.buf.len(), self.seen.unwrap_or(now));
         self.seen = self.seen.filter(|_| unread(stream));
     }
@@ -160,8 +161,8 @@
         }
     }
 
-    /// Takes what the machine has accepted already: a txn there counts as taken. The machine is asked itself, for the
-    /// runtime may not have looked at it since.
+    /// Takes what the machine has accepted already: a txn there counts as taken. The machine is asked itself,
+    /// for the runtime may not have looked at it since.
     pub fn accept_rest(self: &Rc<Self>, listener: TcpListener) -> io::Result<()> {
         let listener = listener.into_std()?;
         while let Ok((stream, _)) = listener.accept() {
@@ -196,8 +197,8 @@
         });
     }
 
-    /// Asks a client to leave, the one that has never asked for longest, else the one that idles longest; true if
-    /// there was one.
+    /// Asks a client to leave, the one that has never asked for longest, else the one that idles longest;
+    /// true if there was one.
     fn make_room(&self) -> bool {
         let seats = self.seats.borrow();
         let longest = |at: At, least: Duration| {
@@ -214,8 +215,8 @@
         true
     }
 
-    /// From now on a connection ends after its answer, or at once where nothing more is asked; one that has not
-    /// asked yet gets a moment to do so.
+    /// From now on a connection ends after its answer, or at once where nothing more is asked; one that has
+    /// not asked yet gets a moment to do so.
     pub fn stop(&self) {
         self.stopped.set(self.stopped.get().or(Some((Instant::now(), self.clock.now()))));
         self.seats.borrow().values().for_each(|seat| seat.leave.notify_one());
@@ -239,7 +240,7 @@
             let asked = match frontend.next(&mut inbox.buf) {
                 Ok(asked) => asked,
                 Err(broken) => {
-                    COUNTERS.broken_streams.add();
+                    blame(stream, &broken.to_string(), &COUNTERS.broken_streams);
                     let last = pg::error(true, pg::PROTOCOL, &broken.to_string(), None);
                     return write(stream, &[last]).await.map(|()| End::Refused);
                 }
@@ -263,7 +264,7 @@
                         return write(stream, &[last]).await.map(|()| End::Refused);
                     }
                     More::Late => {
-                        COUNTERS.clients_late.add();
+                        blame(stream, "nothing whole was asked in time", &COUNTERS.clients_late);
                         let last = pg::error(true, pg::PROTOCOL, "nothing whole was asked in time", None);
                         return write(stream, &[last]).await.map(|()| End::Refused);
                     }
@@ -305,9 +306,9 @@
                     Err((code, why)) => (code, why, true),
                 },
             };
-            COUNTERS.bad_queries.add();
             faults += 1;
             let (code, why, ready) = fault;
+            blame(stream, why, &COUNTERS.bad_queries);
             let fatal = faults >= CLIENT_FAULTS;
             let error = pg::error(fatal, code, why, None);
             let after = if ready && !fatal { pg::READY } else { &[] };
@@ -369,18 +370,20 @@
         if Instant::now() >= until {
             return Ok(late);
         }
-        // One that never leaves a moment without another txn is closed over it: the process is killed just then.
+        // One that never leaves a moment without another txn is closed over it: the process is killed just
+        // then.
         if self.stopped.get().is_some_and(|(since, _)| since.elapsed() >= self.ends_within + LAST_CLOSES) {
             return Ok(More::Closing);
         }
-        let (pipelined, entered) = (inbox.pipelined, Instant::now());
+        let (pipelined, entered, held) = (inbox.pipelined, Instant::now(), inbox.buf.len());
         let leaves = async {
             loop {
                 let wanted = match (seat.at.get(), self.stopped.get()) {
                     (At::Leaving, _) => return,
                     // While all stops the rest of a command is still waited for.
                     (_, Some(_)) if begun.is_some() => None,
-                    // Behind the last answer another query may be under way: only a pause tells that there is none.
+                    // Behind the last answer another query may be under way: only a pause tells that there is
+                    // none.
                     (_, Some(_)) if asked && pipelined => Some(entered + QUIET),
                     (_, Some(_)) if asked => return,
                     // One that has just come is about to ask.
@@ -397,15 +400,18 @@
             biased;
             read = self.rest(stream, &mut inbox.buf) => Ok(if read? > 0 { More::Read } else { More::Left }),
             // What has come by the time that the connection is to be closed is still taken.
-            () = leaves => match unread(stream) && read_some(stream, &mut inbox.buf).await? > 0 {
-                true => Ok(More::Read),
-                false => Ok(More::Closing),
-            },
+            () = leaves => {
+                // A full read gives up its turn, and then this comes first.
+                let read = inbox.buf.len() > held;
+                let read = read || unread(stream) && read_some(stream, &mut inbox.buf).await? > 0;
+                Ok(if read { More::Read } else { More::Closing })
+            }
             () = sleep_until(until) => Ok(late),
         }
     }
 
-    /// True where all stops and a txn came so late that it might not be answered before the process is killed.
+    /// True where all stops and a txn came so late that it might not be answered before the process is
+    /// killed.
     fn comes_too_late(&self, came: Ms) -> bool {
         self.stopped
             .get()
@@ -486,14 +492,25 @@
     }
 }
 
+/// Counts bad input, and tells whose it was and why; of lines that clients can bring about at will, few are
+/// logged.
+fn blame(stream: &TcpStream, why: &str, count: &Count) {
+    let peer = stream.peer_addr().ok().map(tracing::field::display);
+    match count.get().is_multiple_of(LOGGED_OF) {
+        true => tracing::info!(peer, why, "clients: bad input"),
+        false => tracing::debug!(peer, why, "clients: bad input"),
+    }
+    count.add();
+}
+
 /// What a client gets that may come again.
 fn declined(come_back: Option<Ms>) -> Bytes {
     let after = come_back.map(|after| format!("{}", after.ceil()));
     pg::error(false, pg::TOO_MANY, "declined: trying again is harmless", after)
 }
 
-/// Ends a connection so that what was told last arrives: closed at once over unread bytes, it would be reset, and a
-/// reset takes with it what the client has not read yet.
+/// Ends a connection so that what was told last arrives: closed at once over unread bytes, it would be reset,
+/// and a reset takes with it what the client has not read yet.
 async fn linger(stream: &TcpStream, seat: &Seat, end: End) {
     if matches!(end, End::Quiet) || SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
         return;
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -28,43 +28,48 @@
 pub const CLIENTS_OF_EIGHT: usize = 4;
 /// A read takes at most so much at once; a connection holds at most a message and this.
 pub const READ: usize = 16 * 1024;
-/// While a txn is open so much is read behind it, to see its client go; a message may be longer than that on so many
-/// connections at once, so that all together fit a small memory.
+/// While a txn is open so much is read behind it, to see its client go; a message may be longer than that on
+/// so many connections at once, so that all together fit a small memory.
 pub const HELD: usize = 16 * 1024;
 pub const LARGE_AT_ONCE: usize = 24;
-/// An answer longer than the first is read on so many connections at once, and counted until its client has it.
+/// An answer longer than the first is read on so many connections at once, and counted until its client has
+/// it.
 pub const LARGE_ANSWER: usize = 64 * 1024;
 pub const LARGE_ANSWERS_AT_ONCE: usize = 12;
 /// A client gets so long to take an answer, and to finish what it has begun to write.
 pub const CLIENT_STALL: Duration = Duration::from_secs(5);
 pub const CLIENT_HALF: Duration = Duration::from_secs(2);
-/// A connection that is closed after an answer or error is held so long for its client to read it, and so much that
-/// comes behind an error is read meanwhile. An answer is under way for some ms; 64 KiB in hex and a little more fit.
+/// A connection that is closed after an answer or error is held so long for its client to read it, and so
+/// much that comes behind an error is read meanwhile. An answer is under way for some ms; 64 KiB in hex and a
+/// little more fit.
 pub const LINGER: Duration = Duration::from_millis(200);
 pub const LINGER_BYTES: usize = 256 * 1024;
-/// How often it is looked whether a client has gone behind bytes that are not read: well within the 0.3 s after which
-/// nothing may be sent on for it.
+/// How often it is looked whether a client has gone behind bytes that are not read: well within the 0.3 s
+/// after which nothing may be sent on for it.
 pub const GONE_LOOK: Duration = Duration::from_millis(50);
-/// ms from which an answer that is being written counts as slow: what comes meanwhile is not read before its end.
+/// ms from which an answer that is being written counts as slow: what comes meanwhile is not read before its
+/// end.
 pub const ANSWER_SLOW: Ms = 20.0;
-/// While all stops, one that has not asked yet gets so long: the front hands connections out for 0.4 s, and what is
-/// asked later than 0.7 s after SIGTERM may not be answered in time.
+/// While all stops, one that has not asked yet gets so long: the front hands connections out for 0.4 s, and
+/// what is asked later than 0.7 s after SIGTERM may not be answered in time.
 pub const LAST_FIRST: Duration = Duration::from_millis(250);
-/// While all stops a client that writes queries behind others gets so long after its last answer: several times what
-/// one is under way within a site.
+/// While all stops a client that writes queries behind others gets so long after its last answer: several
+/// times what one is under way within a site.
 pub const QUIET: Duration = Duration::from_millis(10);
-/// ms after SIGTERM from which a txn that comes is declined at once: one that came later than 0.7 s after it counts as
-/// lost where SIGKILL finds it unanswered.
+/// ms after SIGTERM from which a txn that comes is declined at once: one that came later than 0.7 s after it
+/// counts as lost where SIGKILL finds it unanswered.
 pub const LAST_TAKES: Ms = 600.0;
-/// SIGKILL comes no sooner than the longest time that clients wait, counted as the first at most, and 700 ms after
-/// SIGTERM; 250 ms of these are kept to give up what others wait behind, and to answer them.
+/// SIGKILL comes no sooner than the longest time that clients wait, counted as the first at most, and 700 ms
+/// after SIGTERM; 250 ms of these are kept to give up what others wait behind, and to answer them.
 pub const KILL_COUNTED: Ms = 3000.0;
 pub const KILL_AFTER: Ms = 450.0;
-/// Of these so much goes to answering: a connection closes in the first moment in which nothing on it is unanswered.
+/// Of these so much goes to answering: a connection closes in the first moment in which nothing on it is
+/// unanswered.
 pub const LAST_CLOSES: Duration = Duration::from_millis(200);
 /// A connection on which no txn was taken by then ends: 3 s are allowed from its beginning.
 pub const CLIENT_FIRST: Duration = Duration::from_millis(2200);
-/// A client that asks nothing for so long is let go; for want of room the ones that idle longest go after the second.
+/// A client that asks nothing for so long is let go; for want of room the ones that idle longest go after the
+/// second.
 pub const CLIENT_IDLE: Duration = Duration::from_millis(2050);
 pub const CLIENT_IDLE_LEAST: Duration = Duration::from_secs(2);
 /// One that has never asked makes room after this: usual clients ask as soon as they are there.
@@ -171,8 +176,8 @@
         match stream.try_read_buf(buf) {
             Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {}
             Ok(read) if read >= READ => {
-                // A peer that never stops sending is always ready: its task would never let others run. Whoever
-                // drops this here finds what was read in the buffer.
+                // A peer that never stops sending is always ready: its task would never let others run.
+                // Whoever drops this here finds what was read in the buffer.
                 yield_now().await;
                 return Ok(read);
             }
--- a/crates/gateway/src/net/servers.rs
+++ b/crates/gateway/src/net/servers.rs
@@ -277,7 +277,8 @@
         Stopped::Written
     }
 
-    /// Stops an errand if its last byte was not written yet; false: it was, or nothing is out under that name.
+    /// Stops an errand if its last byte was not written yet; false: it was, or nothing is out under that
+    /// name.
     pub fn take_back(&mut self, instance: &str, errand: Errand) -> bool {
         if self.carrying.get(&errand).is_some_and(|link| !link.written.get()) {
             let link = self.carrying.remove(&errand);
--- a/crates/gateway/src/proto/json.rs
+++ b/crates/gateway/src/proto/json.rs
@@ -40,7 +40,8 @@
         Ok(())
     }
 
-    /// The next piece, if its last byte has come. An object that was cut off is seen where the next one begins.
+    /// The next piece, if its last byte has come. An object that was cut off is seen where the next one
+    /// begins.
     pub fn piece(&mut self) -> Result<Option<Piece>, Broken> {
         while let Some(byte) = self.held.get(self.at).copied() {
             self.at += 1;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,8 +21,9 @@
 const BACKLOG: u32 = 1024;
 /// How often the last connections are looked at while stopping.
 const LOOK: Duration = Duration::from_millis(5);
-/// A gateway that was killed starts again under its address, which the one before may hold for a moment yet: it is
-/// tried again so often, and for so long at most, well within the 10 s in which a restart is to be ready.
+/// A gateway that was killed starts again under its address, which the one before may hold for a moment yet:
+/// it is tried again so often, and for so long at most, well within the 10 s in which a restart is to be
+/// ready.
 const BIND_AGAIN: Duration = Duration::from_millis(20);
 const BIND_WITHIN: Duration = Duration::from_secs(5);
 
@@ -47,8 +48,9 @@
     }
 }
 
-/// Serves until SIGTERM or SIGINT, within a `LocalSet` on a runtime of one thread. `counted`: so often the counters are
-/// logged unasked, at the first time after a part of it that the seed draws, lest hundreds of gateways log at once.
+/// Serves until SIGTERM or SIGINT, within a `LocalSet` on a runtime of one thread. `counted`: so often the
+/// counters are logged unasked, at the first time after a part of it that the seed draws, lest hundreds of
+/// gateways log at once.
 ///
 /// # Errors
 /// A faulty configuration, a listener that cannot be had, or an end of the gateway that nobody asked for.
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -1,6 +1,6 @@
-//! A day in simulated time: the same clients, hosts and builds, routed by handouts, by gateways that decide each txn
-//! themselves, and evenly over all hosts. Nothing here is a socket; the decisions, handouts, streams and caches are the
-//! project's own. The same seed gives the same day.
+//! A day in simulated time: the same clients, hosts and builds, routed by handouts, by gateways that decide
+//! each txn themselves, and evenly over all hosts. Nothing here is a socket; the decisions, handouts, streams
+//! and caches are the project's own. The same seed gives the same day.
 
 use crate::agenda::Agenda;
 use clap::Args;
--- a/crates/program/tests/endings.rs
+++ b/crates/program/tests/endings.rs
@@ -1,5 +1,5 @@
-//! Stories of how things end, over loopback: each brings about the one order of events in which an ending could go
-//! wrong, by holding sockets and signals, and bounds no wait by hope.
+//! Stories of how things end, over loopback: each brings about the one order of events in which an ending
+//! could go wrong, by holding sockets and signals, and bounds no wait by hope.
 
 use latchhaven_standins::wire::*;
 use rstest::rstest;
@@ -57,7 +57,8 @@
     let server = Server::start(Does::Serves);
     let gateway = Gateway::start(&[&server]);
     let mut client = gateway.client();
-    // More than one read takes is there when the gateway looks: closed over the rest, the connection is reset.
+    // More than one read takes is there when the gateway looks: closed over the rest, the connection is
+    // reset.
     stand_still(&gateway);
     client.send(&[bad, vec![b'Q'; 100_000]].concat());
     gateway.signal("CONT");
@@ -253,7 +254,8 @@
     let since = Instant::now();
     until("it comes late", || since.elapsed() > Duration::from_millis(650));
     client.send(&query(&select("a2", "look", 60_000)));
-    // The first may have run, and is given up so that the second gets its answer; the second never was sent on.
+    // The first may have run, and is given up so that the second gets its answer; the second never was sent
+    // on.
     assert_eq!(outcome(&client.answer()), Err("XX000".to_string()));
     assert_eq!(outcome(&client.answer()), Err("53300".to_string()));
     assert_eq!(to_the_end(&mut client).expect("an end, and no reset"), b"");
@@ -513,7 +515,8 @@
     assert!(server.queries().iter().all(|(_, text)| !text.contains("SET")));
 }
 
-/// Two clients ask in turn while somebody floods; each answer is in time, or the server would not have been asked.
+/// Two clients ask in turn while somebody floods; each answer is in time, or the server would not have been
+/// asked.
 fn all_are_served(gateway: &Gateway) {
     let mut usual = [gateway.client(), gateway.client()];
     for n in 0..20 {
--- a/crates/program/tests/stories.rs
+++ b/crates/program/tests/stories.rs
@@ -260,7 +260,8 @@
         let (mut listing, _) = up(one.addr);
         listing.instance = "s1".to_string();
         pool.relist(&listing, other.addr);
-        // In one moment, before any driver runs: the idle one makes room for the first, and there is none for the next.
+        // In one moment, before any driver runs: the idle one makes room for the first, and there is none for
+        // the next.
         assert!(pool.send("s1", FIRST, None, 1000.0, None, 0.0));
         assert!(!pool.send("s0", SECOND, None, 1000.0, None, 0.0));
         loop {
@@ -977,7 +978,8 @@
     gateway.reconfigure(&config.to_string());
     until("both are called", || new_list.count("watch=1&after=5 ") == 1 && new.count("GET /v1/feed") == 1);
     assert_eq!(outcome(&client.answer()), Ok("a1".to_string()));
-    // The earlier ones are let go once the new ones tell, and are not called again; more signals harm nothing.
+    // The earlier ones are let go once the new ones tell, and are not called again; more signals harm
+    // nothing.
     until("the earlier watch is let go", || gateway.list.let_go());
     until("the earlier feed is let go", || gateway.platform.let_go());
     (0..3).for_each(|_| gateway.signal("HUP"));
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -1,4 +1,5 @@
-//! Small stand-ins on loopback: servers, the list, the platform, and clients; and the program itself as a child.
+//! Small stand-ins on loopback: servers, the list, the platform, and clients; and the program itself as a
+//! child.
 
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/src/api.rs
+++ b/src/api.rs
@@ -17,8 +17,8 @@
 pub enum Event {
     /// The list of instances, or changes to it; entries are empty when the call failed.
     Fleet { kind: ListKind, version: u64, entries: Vec<Listing> },
-    /// A client's txn came in; `left` is the time until this try expires, `waited` how long it had waited for its turn
-    /// by now.
+    /// A client's txn came in; `left` is the time until this try expires, `waited` how long it had waited for
+    /// its turn by now.
     Txn {
         id: TxnId,
         product: String,
@@ -48,7 +48,8 @@
     Stage(StageNews),
     /// What the platform counted for one build and product over the past period.
     Tally { build: Build, product: String, count: u64, failed: u64, took: Option<Ms>, age: Ms },
-    /// What others who send to an instance counted there over a period; `took`: mean time of those that settled.
+    /// What others who send to an instance counted there over a period; `took`: mean time of those that
+    /// settled.
     Seen { instance: String, product: String, count: u64, failed: u64, took: Option<Ms> },
     /// A client found an answer wrong.
     Flagged { instance: String, product: String, age: Ms },
@@ -57,8 +58,8 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send the txn to an instance; no limit: until the client gives up. What is not written whole `write_within` so
-    /// long is not sent at all: the instance would not drop it as a repeat any more.
+    /// Send the txn to an instance; no limit: until the client gives up. What is not written whole
+    /// `write_within` so long is not sent at all: the instance would not drop it as a repeat any more.
     Submit { id: TxnId, instance: String, limit: Option<Ms>, write_within: Option<Ms> },
     /// Final answer: not done, trying again is harmless.
     Decline { id: TxnId, come_back: Option<Ms> },
@@ -320,8 +321,8 @@
     pub reports: Reports,
 }
 
-/// How far the decisions stand, for a front that hands them on instead of asking for each txn. Shares, weights and
-/// health in it are decided; what such a front still owes to the rules is in `crates/handout`.
+/// How far the decisions stand, for a front that hands them on instead of asking for each txn. Shares,
+/// weights and health in it are decided; what such a front still owes to the rules is in `crates/handout`.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Outlook {
     /// Builds on trial among the ready instances, lowest first.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -356,7 +356,8 @@
     assert_eq!(host.voted(2, Verdict::Back), bad);
 }
 
-/// Failures of old and new alike, in tallies of all gateways; each period by the trial's and the others' counts.
+/// Failures of old and new alike, in tallies of all gateways; each period by the trial's and the others'
+/// counts.
 #[rstest]
 #[case::from_the_larger_share_on([(12, 0, 88, 2), (12, 0, 88, 2), (30, 15, 70, 35), (30, 15, 70, 35)], true)]
 #[case::they_were_there_before([(12, 0, 88, 2), (6, 3, 94, 47), (30, 15, 70, 35), (30, 15, 70, 35)], false)]
