--- a/crates/cli/tests/gateway/main.rs
+++ b/crates/cli/tests/gateway/main.rs
@@ -11,5 +11,6 @@
 mod discovery;
 mod platform;
 mod shutdown;
+mod stale_list;
 mod support;
 mod upstream_pool;
--- /dev/null
+++ b/crates/cli/tests/gateway/stale_list.rs
@@ -0,0 +1,60 @@
+//! What is sent by an endpoint list that the discovery service no longer confirms.
+
+use latchhaven_test_support::fake_http::{FakeHttpService, HttpReply, response};
+use latchhaven_test_support::fake_server::{FakeServer, ServerBehavior};
+use latchhaven_test_support::gateway::Gateway;
+use latchhaven_test_support::postgres::{Client, SqlState, outcome, select};
+use serde_json::json;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What discovery has to tell counts as told this long after it could be reached, arrived or not.
+const MAX_UPDATE_DELAY: Duration = Duration::from_secs(6);
+/// The grace of drains in the configuration of the tests.
+const DRAIN_GRACE: Duration = Duration::from_secs(1);
+/// A discovery service that has too many callers.
+const OVERLOADED: u16 = 503;
+/// The SQLSTATE of a request that was not executed.
+const REJECTED: &str = "53300";
+
+fn overloaded() -> HttpReply {
+    HttpReply::Close(response(OVERLOADED, ""))
+}
+
+fn sleep_until(at: Instant) {
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+fn ask(client: &mut Client, id: &str) -> Result<String, SqlState> {
+    outcome(&client.query(&select(id, "look", 900)))
+}
+
+#[test]
+fn endpoint_restarted_since_the_last_list_gets_nothing_once_updates_count_as_told() {
+    let server = FakeServer::start(ServerBehavior::Succeed);
+    let gateway = Gateway::start_watching(&[&server], |_| ());
+    let mut client = gateway.client();
+    assert_eq!(ask(&mut client, "a0"), Ok("a0".to_string()));
+    gateway.discovery.set_reply(|_| overloaded());
+    gateway.discovery.close_streams();
+    let lost_at = Instant::now();
+    // Another process comes up at the address, which discovery lists as gone: nobody can tell this gateway.
+    server.close_connections();
+    sleep_until(lost_at + MAX_UPDATE_DELAY + DRAIN_GRACE);
+    let before = server.queries().len();
+    assert_eq!(ask(&mut gateway.client(), "a1"), Err(SqlState::from(REJECTED)));
+    assert_eq!(server.queries().len(), before);
+}
+
+#[test]
+fn new_process_without_a_list_uses_the_configured_one_for_the_grace_only() {
+    let server = FakeServer::start(ServerBehavior::Succeed);
+    let discovery = FakeHttpService::start(|_| overloaded());
+    let started_at = Instant::now();
+    let gateway = Gateway::start_with(&[&server], |config| {
+        config["discovery"] = json!(discovery.addr.to_string());
+    });
+    sleep_until(started_at + DRAIN_GRACE + Duration::from_secs(1));
+    assert_eq!(ask(&mut gateway.client(), "a1"), Err(SqlState::from(REJECTED)));
+    assert!(server.queries().is_empty());
+}
--- a/crates/policy/tests/policy/main.rs
+++ b/crates/policy/tests/policy/main.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod canary;
 mod discovery;
+mod discovery_overload;
 mod exposure;
 mod fleet;
 mod outliers;
