--- a/crates/control-plane/src/control_plane/updates.rs
+++ b/crates/control-plane/src/control_plane/updates.rs
@@ -1,7 +1,7 @@
 //! Updates that the control plane takes in: from discovery, the platform and proxies.
 
 use super::ControlPlane;
-use latchhaven_policy::{EndpointEntry, Event, Millis, RolloutState, UpdateKind, VoteOutcome};
+use latchhaven_policy::{EndpointEntry, Event, Millis, RolloutState, UpdateFailure, UpdateKind, VoteOutcome};
 use latchhaven_proxy_config::freshness::UpdateResult;
 use latchhaven_proxy_config::load_reports::{ProxyReport, ReportError};
 use latchhaven_proxy_config::parts_per_million::PartsPerMillion;
@@ -32,11 +32,7 @@
     /// A call for the endpoint list failed, or its watch ended.
     pub fn on_endpoint_list_failed(&mut self) {
         self.known_state.endpoint_list_failed();
-        self.pending_events.push(Event::EndpointUpdate {
-            kind: UpdateKind::Failed,
-            list_version: 0,
-            entries: Vec::new(),
-        });
+        self.pending_events.push(Event::EndpointUpdateFailed(UpdateFailure::default()));
     }
 
     /// A vote was answered, or will not be.
--- a/crates/control-plane/src/driver/upstreams.rs
+++ b/crates/control-plane/src/driver/upstreams.rs
@@ -5,7 +5,7 @@
 use latchhaven_gateway::net::DriverEvent;
 use latchhaven_gateway::net::list::List;
 use latchhaven_gateway::net::platform::Vote;
-use latchhaven_policy::{Action, Event, Millis, VoteOutcome};
+use latchhaven_policy::{Action, Event, Millis, UpdateFailure, VoteOutcome};
 use tokio::time::Instant;
 
 impl ControlPlaneDriver {
@@ -48,8 +48,8 @@
         }
     }
 
-    fn on_list_answer(&mut self, call: CallId, list: Option<List>, now: Millis) {
-        let Some(list) = list else {
+    fn on_list_answer(&mut self, call: CallId, list: Result<List, UpdateFailure>, now: Millis) {
+        let Ok(list) = list else {
             if self.discovery.on_failure(call) {
                 self.control_plane.on_endpoint_list_failed();
             }
--- a/crates/experiments/src/rollout_simulation/attempts.rs
+++ b/crates/experiments/src/rollout_simulation/attempts.rs
@@ -47,6 +47,7 @@
         outcome,
         is_final,
         elapsed,
+        connected_at: None,
         load: LoadReport::default(),
     })
 }
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -34,6 +34,12 @@
         self.unix_at_start + self.started_at.elapsed().as_secs_f64() * MS_PER_SECOND
     }
 
+    /// The time of an instant of the runtime.
+    pub(crate) fn time_of(&self, instant: Instant) -> Millis {
+        let since_start = instant.saturating_duration_since(self.started_at);
+        self.unix_at_start + since_start.as_secs_f64() * MS_PER_SECOND
+    }
+
     /// The runtime's instant of a time; times before the start count as the start.
     pub(crate) fn instant(&self, at: Millis) -> Instant {
         self.started_at + duration((at - self.unix_at_start).max(0.0))
--- a/crates/gateway/src/discovery/ordered_client.rs
+++ b/crates/gateway/src/discovery/ordered_client.rs
@@ -113,10 +113,11 @@
         self.is_current(call)
     }
 
-    /// The discovery service has moved: calls that are not finished are made again there at once.
-    pub fn on_address_changed(&mut self, address: SocketAddr, is_finished: impl Fn(CallId) -> bool) {
+    /// The discovery service has moved: calls that are not finished are made again there at once. False if the address
+    /// is the present one.
+    pub fn on_address_changed(&mut self, address: SocketAddr, is_finished: impl Fn(CallId) -> bool) -> bool {
         if !self.starter.set_address(address) {
-            return;
+            return false;
         }
         if let Some(watch) = self.watch.take() {
             self.keep_delivering_watch(watch, &is_finished);
@@ -125,6 +126,7 @@
         if self.fetch.is_some_and(|fetch| !is_finished(fetch.id)) {
             self.fetch();
         }
+        true
     }
 
     /// Of two watches the one that has delivered goes on: the other one may never deliver anything.
@@ -165,7 +167,8 @@
         ActiveCall { id, has_delivered: false, lists_seen: self.lists_applied }
     }
 
-    fn is_current(&self, call: CallId) -> bool {
+    /// True for the watch and the single call that were started last.
+    pub fn is_current(&self, call: CallId) -> bool {
         [self.watch, self.fetch].into_iter().flatten().any(|active| active.id == call)
     }
 
--- a/crates/gateway/src/gateway/event_loop.rs
+++ b/crates/gateway/src/gateway/event_loop.rs
@@ -8,7 +8,7 @@
 use crate::net::platform::{OutcomeCounts, Vote};
 use crate::net::upstream::{CallResult, UpstreamCall};
 use crate::net::{DriverEvent, MAX_PENDING_EVENTS};
-use latchhaven_policy::{Action, AttemptOutcome, Event, Millis, UpdateKind, Verdict, Version, VoteOutcome};
+use latchhaven_policy::{Action, AttemptOutcome, Event, Millis, Verdict, Version, VoteOutcome};
 use tokio::select;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
@@ -38,7 +38,7 @@
             events.push(Event::RolloutUpdate(self.apply_rollout(rollout)));
         }
         self.discovery.restore(initial_state.list.version);
-        events.push(self.apply_list(UpdateKind::CachedSnapshot, initial_state.list));
+        events.push(self.apply_cached_list(initial_state.list));
         self.decide(events);
     }
 
@@ -96,7 +96,7 @@
                 }
             }
             DriverEvent::EndpointList { call, list } => self.on_list_answer(call, list, events),
-            DriverEvent::DiscoveryMoved { address } => self.on_discovery_moved(address),
+            DriverEvent::DiscoveryMoved { address } => self.on_discovery_moved(address, events),
             DriverEvent::Rollout(rollout) => events.push(Event::RolloutUpdate(self.apply_rollout(rollout))),
             DriverEvent::VoteCompleted(outcome) => events.push(self.vote_completed(outcome)),
             DriverEvent::Outcomes(counts) => events.push(outcomes_reported(counts)),
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -7,18 +7,24 @@
 use crate::discovery::ordered_client::ListDecision;
 use crate::net::list::List;
 use crate::net::update_kind;
-use latchhaven_policy::{Event, RolloutState, UpdateKind};
+use latchhaven_policy::{EndpointEntry, Event, RolloutState, UpdateFailure, UpdateKind};
 use std::net::SocketAddr;
 
 impl Gateway {
     /// A call for the endpoint list has delivered a list, or failed.
-    pub(super) fn on_list_answer(&mut self, call: CallId, list: Option<List>, events: &mut Vec<Event>) {
-        let Some(list) = list else {
-            if self.discovery.on_failure(call) {
-                events.push(self.endpoint_update_failed());
+    pub(super) fn on_list_answer(
+        &mut self, call: CallId, list: Result<List, UpdateFailure>, events: &mut Vec<Event>,
+    ) {
+        let list = match list {
+            Ok(list) => list,
+            Err(failure) => {
+                if self.discovery.on_failure(call) {
+                    events.push(Event::EndpointUpdateFailed(failure));
+                }
+                return;
             }
-            return;
         };
+        let is_current = self.discovery.is_current(call);
         let decision = self.discovery.on_list(call, list.version, list.is_snapshot);
         self.run_discovery_commands();
         match decision {
@@ -31,7 +37,8 @@
                     entries = list.entries.len(),
                     "discovery: list applied"
                 );
-                events.push(self.apply_list(update_kind(list.is_snapshot), list));
+                let kind = update_kind(list.is_snapshot);
+                events.push(self.apply_received_list(kind, list, is_current));
             }
             ListDecision::Discard { is_current } => {
                 tracing::info!(
@@ -41,16 +48,19 @@
                 );
                 COUNTERS.discovery_failures_total.increment();
                 if is_current {
-                    events.push(self.endpoint_update_failed());
+                    let failure = UpdateFailure { may_have_lost_update: true, ..UpdateFailure::default() };
+                    events.push(Event::EndpointUpdateFailed(failure));
                 }
             }
         }
     }
 
     /// The discovery service is at another address from now on.
-    pub(super) fn on_discovery_moved(&mut self, address: SocketAddr) {
+    pub(super) fn on_discovery_moved(&mut self, address: SocketAddr, events: &mut Vec<Event>) {
         let tasks = &self.discovery_tasks;
-        self.discovery.on_address_changed(address, |call| tasks.is_finished(call));
+        if self.discovery.on_address_changed(address, |call| tasks.is_finished(call)) {
+            events.push(Event::DiscoveryMoved);
+        }
         self.run_discovery_commands();
     }
 
@@ -59,8 +69,24 @@
         self.discovery_tasks.run(self.discovery.take_commands());
     }
 
+    fn apply_received_list(&mut self, kind: UpdateKind, list: List, is_current: bool) -> Event {
+        let list_version = list.version;
+        let entries = self.apply_list(kind, list);
+        match is_current {
+            true => Event::EndpointUpdate { kind, list_version, entries },
+            false => Event::EndpointUpdateFromPreviousAddress { kind, entries },
+        }
+    }
+
+    /// Takes over the list that the gateway was started with.
+    pub(super) fn apply_cached_list(&mut self, list: List) -> Event {
+        let kind = UpdateKind::CachedSnapshot;
+        let list_version = list.version;
+        Event::EndpointUpdate { kind, list_version, entries: self.apply_list(kind, list) }
+    }
+
     /// Applies a list; attempts that were not yet written to an endpoint that changed are decided anew.
-    pub(super) fn apply_list(&mut self, kind: UpdateKind, list: List) -> Event {
+    fn apply_list(&mut self, kind: UpdateKind, list: List) -> Vec<EndpointEntry> {
         let mut unsent = Vec::new();
         if kind != UpdateKind::Delta {
             let is_listed = |id: &String| list.entries.iter().any(|(entry, _)| entry.endpoint == *id);
@@ -74,8 +100,7 @@
             unsent.append(&mut self.pool.update_endpoint(entry, *address));
         }
         self.return_unsent(unsent);
-        let entries = list.entries.into_iter().map(|(entry, _)| entry).collect();
-        Event::EndpointUpdate { kind, list_version: list.version, entries }
+        list.entries.into_iter().map(|(entry, _)| entry).collect()
     }
 
     /// Takes in a reported state of the rollout; returns the state to go on with.
@@ -92,9 +117,4 @@
             }
         }
     }
-
-    fn endpoint_update_failed(&self) -> Event {
-        let list_version = self.discovery.held_version();
-        Event::EndpointUpdate { kind: UpdateKind::Failed, list_version, entries: Vec::new() }
-    }
 }
--- a/crates/gateway/src/gateway/upstream_calls.rs
+++ b/crates/gateway/src/gateway/upstream_calls.rs
@@ -121,7 +121,7 @@
     }
 
     fn on_attempt_ended(&mut self, id: RequestId, number: u32, result: CallResult, events: &mut Vec<Event>) {
-        let CallResult { outcome, value, load } = result;
+        let CallResult { outcome, value, load, connected_at } = result;
         outcome_counter(outcome).increment();
         let Some(attempt) = self.requests.active_attempt(id, number) else {
             invariant!(false, "an attempt ends once");
@@ -147,6 +147,7 @@
             is_final,
             elapsed,
             load,
+            connected_at: connected_at.map(|at| self.clock.time_of(at)),
         }));
         if is_final {
             self.on_answered(id);
--- a/crates/gateway/src/net/list.rs
+++ b/crates/gateway/src/net/list.rs
@@ -2,12 +2,13 @@
 
 use super::call_error::CallError;
 use super::{CONNECT_TIMEOUT, DriverEvent, read_some, write_all};
+use crate::clock::MS_PER_SECOND;
 use crate::counters::COUNTERS;
 use crate::discovery::calls::CallId;
 use crate::proto::http::{self, BodyBuffer, ResponsePart, ResponseReader};
 use crate::proto::json::{JsonFrame, JsonFramer};
 use bytes::BytesMut;
-use latchhaven_policy::{EndpointEntry, EndpointStatus, Version};
+use latchhaven_policy::{EndpointEntry, EndpointStatus, UpdateFailure, Version};
 use serde::Deserialize;
 use std::io;
 use std::net::SocketAddr;
@@ -18,6 +19,8 @@
 
 /// A watch without a sign of life for so long is ended: discovery sends one every 2 s.
 const WATCH_SILENCE_TIMEOUT: Duration = Duration::from_millis(3500);
+/// Discovery sends a line this often, or more often.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(2000);
 /// A call that brings nothing by then has failed: discovery gives up after 2 s itself.
 const LIST_CALL_TIMEOUT: Duration = Duration::from_millis(3000);
 
@@ -127,21 +130,35 @@
 
 /// Watches from a version on, until the connection ends. However it ends, it is reported as a failed call.
 pub async fn watch(address: SocketAddr, after: u64, call: CallId, events: mpsc::Sender<DriverEvent>) {
-    let error = deliver_watch(address, after, call, &events).await.err().unwrap_or(CallError::WatchEnded);
-    tracing::info!(reason = error.to_string(), "discovery: watch closed");
+    let failure = match Watch::open(address, after).await {
+        Ok(mut watch) => {
+            let error = watch.deliver(call, &events).await.err().unwrap_or(CallError::WatchEnded);
+            log_failed_watch(call, &error);
+            watch.failure(&error)
+        }
+        Err(error) => {
+            log_failed_watch(call, &error);
+            UpdateFailure::default()
+        }
+    };
     COUNTERS.discovery_failures_total.increment();
-    let _ = events.send(DriverEvent::EndpointList { call, list: None }).await;
+    let _ = events.send(DriverEvent::EndpointList { call, list: Err(failure) }).await;
+}
+
+fn log_failed_watch(call: CallId, error: &CallError) {
+    tracing::info!(call = call.0, reason = error.to_string(), "discovery: watch closed");
 }
 
 /// Fetches a snapshot once.
 pub async fn fetch(address: SocketAddr, call: CallId, events: mpsc::Sender<DriverEvent>) {
     let fetched = timeout(LIST_CALL_TIMEOUT, fetch_list(address)).await;
-    let list = fetched.unwrap_or(Err(CallError::NoResponse));
-    if let Err(error) = &list {
-        tracing::info!(reason = error.to_string(), "discovery: call failed");
+    let list = fetched.unwrap_or(Err(CallError::NoResponse)).map_err(|error| {
+        tracing::info!(call = call.0, reason = error.to_string(), "discovery: call failed");
         COUNTERS.discovery_failures_total.increment();
-    }
-    let _ = events.send(DriverEvent::EndpointList { call, list: list.ok() }).await;
+        let may_have_lost_update = is_unreadable(&error) || matches!(error, CallError::CutOff);
+        UpdateFailure { may_have_lost_update, ..UpdateFailure::default() }
+    });
+    let _ = events.send(DriverEvent::EndpointList { call, list }).await;
 }
 
 async fn connect(address: SocketAddr, path: &str) -> io::Result<TcpStream> {
@@ -152,14 +169,9 @@
     Ok(stream)
 }
 
-async fn deliver_watch(
-    address: SocketAddr, after: u64, call: CallId, events: &mpsc::Sender<DriverEvent>,
-) -> Result<(), CallError> {
-    let mut watch = Watch::open(address, after).await?;
-    while let Some(list) = watch.next_list().await? {
-        let _ = events.send(DriverEvent::EndpointList { call, list: Some(list) }).await;
-    }
-    Ok(())
+/// Something came that cannot be read.
+fn is_unreadable(error: &CallError) -> bool {
+    matches!(error, CallError::Response(_) | CallError::List(_))
 }
 
 /// An open watch.
@@ -169,6 +181,8 @@
     reader: ResponseReader,
     framer: JsonFramer,
     buffer: BytesMut,
+    /// The head of the answer has come.
+    has_head: bool,
     /// A list or a line has come.
     is_answered: bool,
     last_sign_of_life: Instant,
@@ -184,12 +198,32 @@
             reader: ResponseReader::default(),
             framer: JsonFramer::default(),
             buffer: BytesMut::new(),
+            has_head: false,
             is_answered: false,
             last_sign_of_life: Instant::now(),
             silence_timeout: LIST_CALL_TIMEOUT,
         })
     }
 
+    /// Reports lists and deltas until the watch ends.
+    async fn deliver(&mut self, call: CallId, events: &mpsc::Sender<DriverEvent>) -> Result<(), CallError> {
+        while let Some(list) = self.next_list().await? {
+            let _ = events.send(DriverEvent::EndpointList { call, list: Ok(list) }).await;
+        }
+        Ok(())
+    }
+
+    /// What the end of this watch means for the list that is held.
+    fn failure(&self, error: &CallError) -> UpdateFailure {
+        let silence = self.last_sign_of_life.elapsed();
+        let is_silent = self.is_answered && silence > KEEPALIVE_INTERVAL;
+        let is_cut_off = self.has_head && (!self.is_answered || self.framer.is_within_object());
+        UpdateFailure {
+            silent_for: if is_silent { silence.as_secs_f64() * MS_PER_SECOND } else { 0.0 },
+            may_have_lost_update: is_cut_off || is_unreadable(error) || !self.buffer.is_empty(),
+        }
+    }
+
     /// The next list or delta; none: the watch has ended.
     async fn next_list(&mut self) -> Result<Option<List>, CallError> {
         loop {
@@ -199,7 +233,10 @@
                 }
             }
             match self.reader.next(&mut self.buffer)? {
-                Some(ResponsePart::Head { status: 200, .. }) => self.silence_timeout = WATCH_SILENCE_TIMEOUT,
+                Some(ResponsePart::Head { status: 200, .. }) => {
+                    self.has_head = true;
+                    self.silence_timeout = WATCH_SILENCE_TIMEOUT;
+                }
                 Some(ResponsePart::Head { status, .. }) => return Err(CallError::Status(status)),
                 Some(ResponsePart::End) => return Ok(None),
                 Some(ResponsePart::Body(bytes)) => self.framer.push(&bytes)?,
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -20,7 +20,7 @@
 use crate::discovery::calls::CallId;
 use crate::proto::pg::Statement;
 use bytes::Bytes;
-use latchhaven_policy::{Millis, RequestId, RolloutState, UpdateKind, VoteOutcome};
+use latchhaven_policy::{Millis, RequestId, RolloutState, UpdateFailure, UpdateKind, VoteOutcome};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -85,8 +85,8 @@
     EndpointList {
         /// The call.
         call: CallId,
-        /// None: it has failed.
-        list: Option<list::List>,
+        /// The list, or what its failure means for the list that is held.
+        list: Result<list::List, UpdateFailure>,
     },
     /// The discovery service is at another address from now on.
     DiscoveryMoved {
--- a/crates/gateway/src/net/upstream/connection.rs
+++ b/crates/gateway/src/net/upstream/connection.rs
@@ -35,6 +35,8 @@
     pub(super) endpoint: String,
     pub(super) incarnation: u64,
     pub(super) stream: OnceCell<TcpStream>,
+    /// When it came up.
+    pub(super) connected_at: Cell<Option<Instant>>,
     pub(super) is_closed: Cell<bool>,
     /// The last byte of the call was written.
     pub(super) is_written: Cell<bool>,
@@ -51,6 +53,7 @@
             endpoint: endpoint.to_string(),
             incarnation,
             stream: OnceCell::new(),
+            connected_at: Cell::new(None),
             is_closed: Cell::new(false),
             is_written: Cell::new(false),
             call: Cell::new(None),
@@ -131,6 +134,7 @@
     /// Connects and waits for the endpoint to be ready for a query.
     async fn connect(&mut self, connection: &UpstreamConnection, address: SocketAddr) -> io::Result<()> {
         let stream = TcpStream::connect(address).await?;
+        connection.connected_at.set(Some(Instant::now()));
         stream.set_nodelay(true)?;
         let stream = connection.stream.get_or_init(|| stream);
         write_all(stream, &[pg::encode::startup()]).await?;
@@ -217,7 +221,8 @@
         }
     }
 
-    async fn report_call_ended(&self, result: CallResult) {
+    async fn report_call_ended(&self, mut result: CallResult) {
+        result.connected_at = self.connection.connected_at.get();
         self.report(DriverEvent::CallEnded { connection: self.connection.clone(), result }).await;
     }
 
--- a/crates/gateway/src/net/upstream/exchange.rs
+++ b/crates/gateway/src/net/upstream/exchange.rs
@@ -68,7 +68,8 @@
 
     fn finish(self, outcome_otherwise: AttemptOutcome, next: NextStep) -> Exchange {
         let outcome = self.outcome.unwrap_or(outcome_otherwise);
-        Exchange { result: CallResult { outcome, value: self.value, load: self.load }, next }
+        let result = CallResult { outcome, value: self.value, load: self.load, connected_at: None };
+        Exchange { result, next }
     }
 }
 
--- a/crates/gateway/src/net/upstream/mod.rs
+++ b/crates/gateway/src/net/upstream/mod.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use latchhaven_policy::{AttemptOutcome, LoadReport, RequestId};
+use tokio::time::Instant;
 
 /// What is sent to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -36,12 +37,14 @@
     pub value: Option<[Bytes; 3]>,
     /// What the endpoint reported of its load.
     pub load: LoadReport,
+    /// When the connection that carried the call came up.
+    pub connected_at: Option<Instant>,
 }
 
 impl CallResult {
     /// The call ended without an answer of the endpoint.
     pub fn without_answer(outcome: AttemptOutcome) -> Self {
-        CallResult { outcome, value: None, load: LoadReport::default() }
+        CallResult { outcome, value: None, load: LoadReport::default(), connected_at: None }
     }
 }
 
--- a/crates/gateway/src/proto/json.rs
+++ b/crates/gateway/src/proto/json.rs
@@ -46,6 +46,11 @@
         Ok(())
     }
 
+    /// An object has begun whose end has not come.
+    pub fn is_within_object(&self) -> bool {
+        !self.open_brackets.is_empty()
+    }
+
     /// The next frame, if its last byte has come. An object that was cut off is noticed where the next one begins.
     ///
     /// # Errors
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -63,7 +63,7 @@
     let pool = UpstreamPool::new(descriptors - client_descriptors, connections.clone(), events.clone());
     let clients = Clients::new(client_descriptors, config.settings.classes(), clock, events.clone());
     let gateway = Gateway::new(GatewayParts {
-        policy: config.settings.with_subscription().start_policy(config.seed),
+        policy: config.settings.on_sockets().start_policy(config.seed),
         clock,
         pool,
         connections,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -80,6 +80,10 @@
             return;
         }
         self.registry.refill_slow_start_tokens(now);
+        if self.registry.is_list_expired(now) {
+            let waiting = std::mem::take(&mut self.requests.queue);
+            return waiting.into_iter().for_each(|id| self.answer_unserved(id, now));
+        }
         let sides = [self.partition(true), self.partition(false)];
         let classes = &self.classes;
         let rank = |request: &Request| (classes[request.class].priority_weight, request.arrived_at);
--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -61,6 +61,14 @@
     pub must_subscribe: bool,
     /// A gateway without a watch has to ask within this time.
     pub max_poll_interval: Millis,
+    /// What is listed counts as told to a gateway this long after it lost its watch, arrived or not.
+    pub update_delay_after_loss: Millis,
+    /// The same from the moment in which its watch fell silent.
+    pub update_delay_after_silence: Millis,
+    /// What was listed before a process started counts as told to it this long after its first call failed.
+    pub update_delay_after_failed_start: Millis,
+    /// What is listed counts as told this long after the discovery service moved to another address.
+    pub update_delay_after_move: Millis,
     /// How long attempts may still be sent to an endpoint that was told to drain.
     pub drain_grace: Millis,
 }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -3,6 +3,7 @@
 use crate::config::{CostConfig, Permissions, PolicyConfig};
 use crate::event::{EndpointOutcomes, OutcomeReport};
 use crate::exposure::SAFETY_MARGIN;
+use crate::list_lease::ListLease;
 use crate::policy::{own_error_rate, vote_probability};
 use crate::state::canary::{decode_wrong_answer, encode_wrong_answer};
 use crate::state::timer::TickTimer;
@@ -12,8 +13,8 @@
 };
 use crate::statistics::indicator;
 use crate::{
-    Action, EndpointEntry, Event, Millis, PolicySnapshot, RequestClass, RequestId, UpdateKind, Version,
-    VoteOutcome, admission, outlier, policy, retry,
+    Action, EndpointEntry, Event, Millis, PolicySnapshot, RequestClass, RequestId, UpdateFailure, UpdateKind,
+    Version, VoteOutcome, admission, discovery_calls, outlier, policy, retry,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -22,6 +23,8 @@
 /// The decisions of one gateway.
 pub struct Policy {
     pub(crate) zone: String,
+    /// How many gateways there are.
+    pub(crate) gateways: u32,
     pub(crate) classes: Vec<RequestClass>,
     pub(crate) permissions: Permissions,
     pub(crate) costs: CostConfig,
@@ -45,16 +48,15 @@
     #[must_use]
     pub fn new(config: PolicyConfig) -> Self {
         let PolicyConfig { identity, classes, voting, discovery, .. } = config;
-        let mut rng = Pcg64Mcg::seed_from_u64(config.seed);
-        let next_poll_at = policy::first_poll_at(&discovery, &mut rng);
+        let rng = Pcg64Mcg::seed_from_u64(config.seed);
         let own_error_rate = own_error_rate(&identity, &voting);
         let vote_probability = vote_probability(&identity, &voting);
         let typical_latency = classes.iter().map(initial_latency).collect();
         Policy {
             registry: EndpointRegistry {
+                next_poll_at: discovery.must_subscribe.then_some(0.0),
                 discovery,
                 slow_start: config.slow_start,
-                next_poll_at,
                 logs_ejections: f64::from(identity.index) < policy::VOTERS_PER_LOOK,
                 ..EndpointRegistry::default()
             },
@@ -66,6 +68,7 @@
                 admission::SERVICE_HALF_LIFE,
             ),
             zone: identity.zone,
+            gateways: identity.gateway_count,
             classes,
             permissions: config.permissions,
             costs: config.costs,
@@ -79,6 +82,9 @@
     pub(crate) fn on_event(&mut self, event: Event, now: Millis) {
         match event {
             Event::EndpointUpdate { kind, entries, .. } => self.on_endpoint_update(kind, &entries, now),
+            Event::EndpointUpdateFailed(failure) => self.on_update_failed(&failure, now),
+            Event::EndpointUpdateFromPreviousAddress { kind, entries } => self.apply_entries(kind, &entries),
+            Event::DiscoveryMoved => self.registry.lease.move_discovery(&self.registry.discovery, now),
             Event::RequestReceived(request) => self.on_request(request, now),
             Event::ResponseStarted { id, .. } => {
                 if let Some(request) = self.requests.requests.get_mut(&id) {
@@ -114,19 +120,42 @@
 
     fn on_endpoint_update(&mut self, kind: UpdateKind, entries: &[EndpointEntry], now: Millis) {
         let registry = &mut self.registry;
-        let failures = if kind == UpdateKind::Failed { registry.consecutive_failures + 1 } else { 0 };
-        registry.consecutive_failures = failures;
         match kind {
-            // The watch may stand or not: ask again.
-            UpdateKind::Failed => {
-                let delay = policy::poll_retry_delay(failures, &registry.discovery, &mut self.rng);
+            UpdateKind::CachedSnapshot if registry.discovery.must_subscribe => {
+                registry.lease = ListLease::cached(&registry.discovery, now);
+                let delay =
+                    discovery_calls::first_call_delay(self.gateways, &registry.discovery, &mut self.rng);
                 registry.next_poll_at = Some(now + delay);
             }
             UpdateKind::CachedSnapshot => {}
-            UpdateKind::Snapshot | UpdateKind::Delta => registry.next_poll_at = None,
+            UpdateKind::Snapshot | UpdateKind::Delta => {
+                registry.lease = ListLease::confirmed();
+                registry.failed_calls = 0;
+                registry.next_poll_at = None;
+            }
         }
+        self.apply_entries(kind, entries);
+    }
+
+    fn apply_entries(&mut self, kind: UpdateKind, entries: &[EndpointEntry]) {
         let is_snapshot = matches!(kind, UpdateKind::Snapshot | UpdateKind::CachedSnapshot);
-        registry.apply(entries, is_snapshot, outlier::INITIAL_CONCURRENCY_LIMIT, &mut self.rng);
+        self.registry.apply(entries, is_snapshot, outlier::INITIAL_CONCURRENCY_LIMIT, &mut self.rng);
+    }
+
+    /// The watch may stand or not: the list is asked for again.
+    fn on_update_failed(&mut self, failure: &UpdateFailure, now: Millis) {
+        let registry = &mut self.registry;
+        if !registry.lease.is_confirmed() {
+            registry.failed_calls += 1;
+        }
+        registry.lease.fail(failure, &registry.discovery, now);
+        let delay = discovery_calls::retry_delay(
+            registry.failed_calls,
+            self.gateways,
+            &registry.discovery,
+            &mut self.rng,
+        );
+        registry.next_poll_at = Some(now + delay);
     }
 
     fn on_wrong_answer(&mut self, endpoint: &str) {
@@ -212,7 +241,9 @@
             return false;
         }
         let class = &self.classes[request.class];
-        let write_within = request.dedup_window_left(class, SAFETY_MARGIN, now);
+        let lease_left = Some(self.registry.lease_expires_at(index) - now).filter(|left| left.is_finite());
+        let window_left = request.dedup_window_left(class, SAFETY_MARGIN, now);
+        let write_within = [lease_left, window_left].into_iter().flatten().reduce(f64::min);
         // What is late helps nobody: a timeout lets endpoints drop it unexecuted.
         let timeout = Some((request.objective_deadline - now).max(SAFETY_MARGIN));
         let warmup_factor = self.registry.warmup_factor(index, now);
--- a/crates/policy/src/endpoint.rs
+++ b/crates/policy/src/endpoint.rs
@@ -12,8 +12,15 @@
     Snapshot,
     /// The whole list as it was last held, perhaps stale.
     CachedSnapshot,
-    /// A call failed or the watch broke; the list stays.
-    Failed,
+}
+
+/// A call for the endpoint list that failed, or a watch that broke. The list held stays.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UpdateFailure {
+    /// Time since the last sign of life of a watch, in ms; 0 where it broke, or where there was none.
+    pub silent_for: Millis,
+    /// Updates may have been sent that did not arrive whole.
+    pub may_have_lost_update: bool,
 }
 
 /// What the endpoint list says of an endpoint's lifecycle.
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -1,7 +1,7 @@
 //! What the policy is told.
 
 use crate::Millis;
-use crate::endpoint::{EndpointEntry, UpdateKind};
+use crate::endpoint::{EndpointEntry, UpdateFailure, UpdateKind};
 use crate::request::{AttemptOutcome, LoadReport, RequestId};
 use crate::rollout::{RolloutState, Version, VoteOutcome};
 
@@ -45,6 +45,8 @@
     pub elapsed: Millis,
     /// The endpoint's load, where answers hold reports.
     pub load: LoadReport,
+    /// When the connection that carried it came up; none where that is not known.
+    pub connected_at: Option<Millis>,
 }
 
 /// What the platform counted for one version and class over the past period.
@@ -88,7 +90,18 @@
         kind: UpdateKind,
         /// The list's version.
         list_version: u64,
-        /// Empty if the call failed.
+        /// What it holds.
+        entries: Vec<EndpointEntry>,
+    },
+    /// A call for the endpoint list failed, or the watch broke.
+    EndpointUpdateFailed(UpdateFailure),
+    /// The discovery service is at another address from now on.
+    DiscoveryMoved,
+    /// An update from the address that the discovery service had before: it holds, but does not confirm the list.
+    EndpointUpdateFromPreviousAddress {
+        /// How it relates to the list held so far.
+        kind: UpdateKind,
+        /// What it holds.
         entries: Vec<EndpointEntry>,
     },
     /// A client's request came in.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod admission;
 mod canary;
+mod discovery_calls;
 mod dispatch;
 mod exposure;
+mod list_lease;
 mod outlier;
 mod policy;
 mod retry;
@@ -31,7 +33,7 @@
     SlowStartConfig, UpstreamConnectionConfig, VoteMode, VotingConfig,
 };
 pub use dispatch::Policy;
-pub use endpoint::{EndpointEntry, EndpointStatus, UpdateKind};
+pub use endpoint::{EndpointEntry, EndpointStatus, UpdateFailure, UpdateKind};
 pub use event::{CompletedAttempt, EndpointOutcomes, Event, IncomingRequest, OutcomeReport};
 pub use request::{AttemptOutcome, DedupScope, Idempotency, LoadReport, RequestClass, RequestId};
 pub use rollout::{RolloutPhase, RolloutState, Verdict, Version, VoteOutcome};
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,14 +1,12 @@
 //! The one entry of the decisions: batches of events in, actions out. Chance comes from the seed; see docs/design.md.
 
-use crate::config::{DiscoveryConfig, GatewayIdentity, VotingConfig};
+use crate::config::{GatewayIdentity, VotingConfig};
 use crate::dispatch::Policy;
 use crate::exposure::SAFETY_MARGIN;
 use crate::state::FleetView;
 use crate::statistics::indicator;
 use crate::verdict::ROLLBACK_ERROR_RATE;
 use crate::{Action, AttemptOutcome, CompletedAttempt, Event, Millis};
-use rand::RngExt;
-use rand_pcg::Pcg64Mcg;
 
 /// ms between looks at queued and unresponsive requests: a few of the finest batches.
 const TICK: Millis = 10.0;
@@ -24,12 +22,10 @@
 pub(crate) const RATE_WINDOW: Millis = 2000.0;
 /// Weight of the newest value in running means.
 pub(crate) const RUNNING_MEAN_WEIGHT: f64 = 0.1;
-/// ms before a failed call for the list or a failed vote is repeated.
+/// ms before a failed vote is repeated.
 pub(crate) const RETRY_INTERVAL: Millis = 500.0;
 /// ms before an unanswered call is taken as lost.
 const CALL_TIMEOUT: Millis = 4000.0;
-/// Share of the polling time over which the first calls are spread.
-const FIRST_POLL_SPREAD: f64 = 0.2;
 /// Gateways that vote at each look, of all that would: the platform's calls are few.
 pub(crate) const VOTERS_PER_LOOK: f64 = 8.0;
 /// Share of the latency objective that answers may take before the concurrency limit falls.
@@ -48,17 +44,6 @@
     VOTERS_PER_LOOK * f64::from(quorum) / f64::from(identity.gateway_count.max(1))
 }
 
-pub(crate) fn first_poll_at(discovery: &DiscoveryConfig, rng: &mut Pcg64Mcg) -> Option<Millis> {
-    let spread = FIRST_POLL_SPREAD * discovery.max_poll_interval;
-    discovery.must_subscribe.then(|| rng.random_range(0.0..=spread))
-}
-
-/// Time until a failed call for the list is repeated: longer each time, by chance, for all share one service.
-pub(crate) fn poll_retry_delay(failures: u32, discovery: &DiscoveryConfig, rng: &mut Pcg64Mcg) -> Millis {
-    let delay = RETRY_INTERVAL * f64::from(1u32 << failures.min(8)) * rng.random_range(0.5..1.0);
-    delay.min(discovery.max_poll_interval / 2.0)
-}
-
 impl Policy {
     /// Takes what happened since, in order, and returns what is to be done about it, in order.
     pub fn handle_events(&mut self, now: Millis, events: Vec<Event>) -> Vec<Action> {
@@ -80,11 +65,17 @@
     }
 
     pub(crate) fn on_attempt_completed(&mut self, completed: &CompletedAttempt, now: Millis) {
-        let CompletedAttempt { id, outcome, elapsed, .. } = *completed;
+        let CompletedAttempt { id, outcome, elapsed, connected_at, .. } = *completed;
         let Some(attempt) = self.requests.complete_attempt(completed) else { return };
         let request = &self.requests.requests[&id];
         let endpoint = &mut self.registry.endpoints[attempt.endpoint];
         let is_same_incarnation = endpoint.release(attempt.incarnation);
+        if is_same_incarnation
+            && outcome == AttemptOutcome::Success
+            && self.registry.lease.is_proof(connected_at)
+        {
+            endpoint.proven_at = endpoint.proven_at.max(attempt.sent_at);
+        }
         // Where connections are refused all over, those that idle here take the places of others.
         let failed = indicator(outcome == AttemptOutcome::ConnectFailed);
         let failure_rate = &mut self.requests.connect_failure_rate;
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -95,6 +95,7 @@
             && request.possibly_executed().all(is_repeatable)
             && request.dedup_window_left(class, SAFETY_MARGIN, now).is_none_or(|left| left > 0.0)
             && endpoint.is_ready
+            && now < self.registry.lease_expires_at(index)
             && (endpoint.slow_start_tokens >= 1.0 || self.registry.warmup_factor(index, now) >= 1.0)
             && self.exposure.admits(request, class.idempotency, version, lowest_version, now)
     }
--- a/crates/policy/src/state/registry.rs
+++ b/crates/policy/src/state/registry.rs
@@ -4,6 +4,7 @@
 use crate::action::Action;
 use crate::config::{DiscoveryConfig, SlowStartConfig};
 use crate::endpoint::EndpointEntry;
+use crate::list_lease::ListLease;
 use crate::rollout::Version;
 use crate::snapshot::EndpointSnapshot;
 use crate::state::window::SlidingWindow;
@@ -139,10 +140,12 @@
     pub endpoints: EndpointTable,
     /// Where each listed endpoint stands in the table.
     pub index_by_id: BTreeMap<String, EndpointIndex>,
+    /// How long attempts may go by the list.
+    pub(crate) lease: ListLease,
     /// When the list is to be asked for, if it is.
     pub next_poll_at: Option<Millis>,
     /// Calls for the list that failed in a row.
-    pub consecutive_failures: u32,
+    pub failed_calls: u32,
     /// The lowest version that is ready.
     pub lowest_version: Version,
     /// Requests that came in, retries left out.
@@ -164,6 +167,17 @@
         self.index_by_id.get(id).copied()
     }
 
+    /// Until when attempts may be sent to a ready endpoint.
+    pub(crate) fn lease_expires_at(&self, index: EndpointIndex) -> Millis {
+        self.lease.expires_at(self.endpoints[index].proven_at, &self.discovery)
+    }
+
+    /// Ready endpoints are listed, but attempts may be sent to none of them.
+    pub(crate) fn is_list_expired(&self, now: Millis) -> bool {
+        let mut ready = self.endpoints.ready().peekable();
+        ready.peek().is_some() && ready.all(|index| self.lease_expires_at(index) <= now)
+    }
+
     /// Ejects an endpoint for a time that doubles up to a bound; the first time in a row it may be logged.
     pub fn eject_for(
         &mut self, index: EndpointIndex, duration: Millis, max_duration: Millis, reason: &str, now: Millis,
--- a/crates/policy/tests/policy/discovery.rs
+++ b/crates/policy/tests/policy/discovery.rs
@@ -1,7 +1,9 @@
 //! How the endpoint list is asked for.
 
 use crate::support::{STEP, TestConfig, TestGateway, succeed};
-use latchhaven_policy::{Action, EndpointEntry, EndpointStatus, Event, Millis, UpdateKind, Version};
+use latchhaven_policy::{
+    Action, EndpointEntry, EndpointStatus, Event, Millis, UpdateFailure, UpdateKind, Version,
+};
 use rstest::rstest;
 
 #[rstest]
@@ -12,7 +14,7 @@
     };
     gateway.run_for(2000.0);
     assert_eq!(watches(&gateway), 1);
-    gateway.deliver(Event::EndpointUpdate { kind: UpdateKind::Failed, list_version: 0, entries: vec![] });
+    gateway.deliver(Event::EndpointUpdateFailed(UpdateFailure::default()));
     gateway.run_for(1000.0);
     assert_eq!(watches(&gateway), 2);
     gateway.run_for(5000.0);
@@ -33,11 +35,7 @@
     for _ in 0..4000 {
         if watches(&gateway) > reported {
             reported = watches(&gateway);
-            gateway.deliver(Event::EndpointUpdate {
-                kind: UpdateKind::Failed,
-                list_version: 0,
-                entries: vec![],
-            });
+            gateway.deliver(Event::EndpointUpdateFailed(UpdateFailure::default()));
         }
         gateway.step();
     }
@@ -65,8 +63,8 @@
     const DOWN: Millis = 8000.0;
     let config = |seed| TestConfig { seed, gateway_count: 300, ..TestConfig::default() };
     let mut gateways: Vec<TestGateway> = (0..300).map(|seed| TestGateway::new(config(seed))).collect();
-    let (mut calls, mut delivered) = (Vec::new(), 0);
-    for step in 0..1600 {
+    let (mut calls, mut delivered, mut delivered_soon) = (Vec::new(), 0, 0);
+    for step in 0..3600 {
         let at = STEP * f64::from(step);
         for gateway in &mut gateways {
             // What it asked for as it started counts too.
@@ -77,8 +75,12 @@
             if gateway.actions[before..].iter().any(asks) {
                 calls.push(at);
                 delivered += usize::from(at >= DOWN);
-                let kind = if at >= DOWN { UpdateKind::Snapshot } else { UpdateKind::Failed };
-                gateway.deliver(Event::EndpointUpdate { kind, list_version: 2, entries: vec![] });
+                delivered_soon += usize::from((DOWN..DOWN + 12_000.0).contains(&at));
+                gateway.deliver(if at >= DOWN {
+                    Event::EndpointUpdate { kind: UpdateKind::Snapshot, list_version: 2, entries: vec![] }
+                } else {
+                    Event::EndpointUpdateFailed(UpdateFailure::default())
+                });
             }
         }
     }
@@ -87,11 +89,12 @@
         (0..120).map(|k| within(from + 100.0 * f64::from(k))).max().unwrap_or(0)
     };
     assert_eq!(delivered, 300, "each asks until it has a list, and no more");
-    assert!(max_in_a_second(10.0) <= 400, "{} calls in one second", max_in_a_second(10.0));
+    assert!(delivered_soon >= 270, "{delivered_soon} have a list within 12 s");
+    assert!(max_in_a_second(10.0) <= 80, "{} calls in one second", max_in_a_second(10.0));
     assert!(
-        max_in_a_second(4000.0) <= 200,
+        max_in_a_second(4000.0) <= 80,
         "{} calls in one second, long after the start",
         max_in_a_second(4000.0)
     );
-    assert!(calls.len() <= 300 * 6, "{} calls", calls.len());
+    assert!(calls.len() <= 300 * 4, "{} calls", calls.len());
 }
--- a/crates/policy/tests/policy/discovery_overload.rs
+++ b/crates/policy/tests/policy/discovery_overload.rs
@@ -1,7 +1,7 @@
 //! Hundreds of gateways before a discovery service of bounded rate, on an injected clock.
 
 use crate::support::TestConfig;
-use latchhaven_policy::{Action, Event, Millis, Policy, UpdateKind};
+use latchhaven_policy::{Action, Event, Millis, Policy, UpdateFailure, UpdateKind};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -111,7 +111,7 @@
     fn on_entry(&mut self, gateway: usize, kind: Kind, now: Millis) {
         let event = match kind {
             Kind::Timer => Event::TimerFired { token: "look".to_string() },
-            Kind::WatchLost | Kind::CallFailed => endpoint_update(UpdateKind::Failed),
+            Kind::WatchLost | Kind::CallFailed => Event::EndpointUpdateFailed(UpdateFailure::default()),
             Kind::CallAnswered => endpoint_update(UpdateKind::Snapshot),
             Kind::Started => endpoint_update(UpdateKind::CachedSnapshot),
             Kind::Killed => return self.kill(gateway, now),
--- a/crates/policy/tests/policy/robustness.rs
+++ b/crates/policy/tests/policy/robustness.rs
@@ -54,6 +54,7 @@
         is_final: false,
         elapsed,
         load: LoadReport::default(),
+        connected_at: None,
     }));
     gateway.deliver(Event::ClientDisconnected { id: RequestId(4242) });
     gateway.deliver(Event::WrongAnswerReported {
--- a/crates/policy/tests/policy/support/config.rs
+++ b/crates/policy/tests/policy/support/config.rs
@@ -77,6 +77,10 @@
             discovery: DiscoveryConfig {
                 must_subscribe: true,
                 max_poll_interval: 10_000.0,
+                update_delay_after_loss: 6000.0,
+                update_delay_after_silence: 6000.0,
+                update_delay_after_move: 4000.0,
+                update_delay_after_failed_start: 0.0,
                 drain_grace: 1000.0,
             },
             slow_start: SlowStartConfig {
--- a/crates/policy/tests/policy/support/mod.rs
+++ b/crates/policy/tests/policy/support/mod.rs
@@ -16,6 +16,11 @@
 /// ms between two batches of events.
 pub(crate) const STEP: Millis = 10.0;
 
+/// Clock time in ms from which a gateway may be told of endpoints.
+const READY_AT: Millis = 100_000.0;
+/// ms within which a gateway has called for the list: before that it is told of no endpoint.
+const MAX_FIRST_CALL_DELAY: Millis = 4100.0;
+
 /// How an endpoint answers an attempt, and after which time.
 pub(crate) type Behavior = Box<dyn Fn(&SentAttempt) -> (AttemptOutcome, Millis)>;
 
@@ -48,6 +53,8 @@
     /// How long requests had been queued when their outcome is reported.
     pub(crate) queued_for: Millis,
     pub(crate) behavior: Behavior,
+    /// When the connections to all endpoints came up.
+    pub(crate) connected_at: Option<Millis>,
     listed: BTreeMap<String, EndpointEntry>,
     scheduled: Vec<ScheduledOutcome>,
     deadlines: BTreeMap<RequestId, Millis>,
@@ -67,9 +74,10 @@
     pub(crate) fn new(config: TestConfig) -> Self {
         let mut gateway = TestGateway {
             policy: Policy::new(config.into()),
-            now: 100_000.0,
+            now: READY_AT - MAX_FIRST_CALL_DELAY - STEP,
             queued_for: 0.0,
             behavior: Box::new(succeed),
+            connected_at: None,
             listed: BTreeMap::new(),
             scheduled: Vec::new(),
             deadlines: BTreeMap::new(),
@@ -86,6 +94,8 @@
             entries: vec![],
         });
         gateway.step();
+        gateway.now = READY_AT;
+        gateway.step();
         gateway
     }
 
@@ -224,6 +234,7 @@
             is_final: self.succeeded.contains_key(&id) || self.answers.contains_key(&id),
             elapsed: self.now - attempt.at,
             load: LoadReport::default(),
+            connected_at: self.connected_at,
         })
     }
 
--- a/crates/simulator-protocol/src/host.rs
+++ b/crates/simulator-protocol/src/host.rs
@@ -5,7 +5,7 @@
 use crate::fields::Fields;
 use crate::messages::{Message, parse_endpoint_entry, parse_message};
 use crate::settings;
-use latchhaven_policy::{Action, EndpointEntry, Event, Millis, Policy, UpdateKind};
+use latchhaven_policy::{Action, EndpointEntry, Event, Millis, Policy};
 use std::any::Any;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
@@ -170,7 +170,7 @@
             }
             Message::Event(event) => batch.events.push(event),
             Message::EndpointList { kind, list_version, bank } => {
-                let entries = stored_entries(&self.lists, kind, bank)?;
+                let entries = stored_entries(&self.lists, bank)?;
                 batch.events.push(Event::EndpointUpdate { kind, list_version, entries });
             }
         }
@@ -200,11 +200,8 @@
 
 /// The entries that an update of the list refers to.
 fn stored_entries(
-    lists: &[Option<Vec<EndpointEntry>>], kind: UpdateKind, bank: Option<usize>,
+    lists: &[Option<Vec<EndpointEntry>>], bank: Option<usize>,
 ) -> Result<Vec<EndpointEntry>, ProtocolError> {
-    if kind == UpdateKind::Failed {
-        return Ok(Vec::new());
-    }
     let bank = bank.ok_or(ProtocolError::Missing("bank"))?;
     let stored = lists.get(bank).and_then(Option::as_ref);
     stored.cloned().ok_or(ProtocolError::NoSuchList(bank))
--- a/crates/simulator-protocol/src/messages.rs
+++ b/crates/simulator-protocol/src/messages.rs
@@ -4,7 +4,7 @@
 use crate::fields::Fields;
 use latchhaven_policy::{
     AttemptOutcome, CompletedAttempt, EndpointEntry, EndpointStatus, Event, IncomingRequest, OutcomeReport,
-    RolloutPhase, RolloutState, UpdateKind, Version, VoteOutcome,
+    RolloutPhase, RolloutState, UpdateFailure, UpdateKind, Version, VoteOutcome,
 };
 
 /// Versions are below this.
@@ -95,12 +95,15 @@
 
 fn endpoint_list(fields: &Fields) -> Result<Message, ProtocolError> {
     let kind = fields.word("kind", |word| match word {
-        "D" => Some(UpdateKind::Delta),
-        "F" => Some(UpdateKind::Snapshot),
-        "C" => Some(UpdateKind::CachedSnapshot),
-        "X" => Some(UpdateKind::Failed),
+        "D" => Some(Some(UpdateKind::Delta)),
+        "F" => Some(Some(UpdateKind::Snapshot)),
+        "C" => Some(Some(UpdateKind::CachedSnapshot)),
+        "X" => Some(None),
         _ => None,
     })?;
+    let Some(kind) = kind else {
+        return Ok(Message::Event(Event::EndpointUpdateFailed(UpdateFailure::default())));
+    };
     let list_version = fields.optional_number("index")?.unwrap_or(0);
     Ok(Message::EndpointList { kind, list_version, bank: fields.optional_number("bank")? })
 }
@@ -128,6 +131,7 @@
         is_final: fields.flag("ended")?,
         elapsed: fields.ms("duration-s")?,
         load: fields.load()?,
+        connected_at: None,
     })
 }
 
--- a/crates/simulator-protocol/src/settings/mod.rs
+++ b/crates/simulator-protocol/src/settings/mod.rs
@@ -19,8 +19,26 @@
     seconds * MS_PER_S
 }
 
+/// Times the polling interval after which the simulator counts as told what a failed call missed.
+const FAILED_CALL_POLLS: f64 = 4.0;
+/// ms after which discovery counts what it lists as told to a gateway on sockets that it cannot reach.
+const SOCKET_UPDATE_DELAY: Millis = 6000.0;
+/// ms after which it does so once it has moved to another address.
+const SOCKET_MOVE_DELAY: Millis = 4000.0;
+
+/// When updates count as told to an instance that misses them, in ms.
+struct UpdateDelays {
+    after_loss: Millis,
+    after_silence: Millis,
+    after_move: Millis,
+    after_failed_start: Millis,
+}
+
 /// The settings that an instance is started with, checked.
-pub struct Settings(SettingsSchema);
+pub struct Settings {
+    schema: SettingsSchema,
+    update_delays: UpdateDelays,
+}
 
 /// What bounds an adapter that publishes decisions instead of asking for each request.
 pub struct PublishingLimits {
@@ -42,20 +60,27 @@
     let schema: SettingsSchema = serde_path_to_error::deserialize(&mut reader)
         .map_err(|error| SettingsError::Malformed(error.to_string()))?;
     checks::consistency(&schema)?;
-    Ok(Settings(schema))
+    let delay = FAILED_CALL_POLLS * ms(schema.rules.ask_within);
+    let update_delays = UpdateDelays {
+        after_loss: delay,
+        after_silence: delay,
+        after_move: delay,
+        after_failed_start: delay,
+    };
+    Ok(Settings { schema, update_delays })
 }
 
 impl Settings {
     /// What an adapter on sockets has to know beside the policy.
     #[must_use]
     pub fn upstream_connections(&self) -> UpstreamConnectionConfig {
-        let permissions = &self.0.permissions;
+        let permissions = &self.schema.permissions;
         UpstreamConnectionConfig {
             idle_timeout: ms(permissions.conn_idle),
             connect_timeout: ms(permissions.dial_timeout),
-            vote_timeout: ms(self.0.domain.api_timeout),
+            vote_timeout: ms(self.schema.domain.api_timeout),
             health_checks: permissions.probes,
-            load_reporting: match self.0.load_report.via {
+            load_reporting: match self.schema.load_report.via {
                 schema::Via::Silent => LoadReporting::Disabled,
                 schema::Via::Piggyback => LoadReporting::InResponses,
                 schema::Via::Pull => LoadReporting::InHealthChecks,
@@ -63,14 +88,21 @@
         }
     }
 
-    /// The same with a list that has to be asked for: on sockets nothing of it comes unasked, whatever the site does
-    /// elsewhere.
+    /// The same on sockets, where the list has to be asked for: nothing of it comes unasked, whatever the site does
+    /// elsewhere. Where it is pushed, what is listed counts as told at once, unless the watch only falls silent.
     #[must_use]
-    pub fn with_subscription(mut self) -> Self {
-        if self.0.registry_mode == schema::RegistryMode::Automatic {
-            self.0.registry_mode = schema::RegistryMode::Subscribe;
-            if self.0.rules.ask_within <= 0.0 {
-                self.0.rules.ask_within = DEFAULT_ASK_WITHIN_S;
+    pub fn on_sockets(mut self) -> Self {
+        let is_pushed = self.schema.registry_mode == schema::RegistryMode::Automatic;
+        self.update_delays = UpdateDelays {
+            after_loss: if is_pushed { 0.0 } else { SOCKET_UPDATE_DELAY },
+            after_silence: SOCKET_UPDATE_DELAY,
+            after_move: SOCKET_MOVE_DELAY,
+            after_failed_start: 0.0,
+        };
+        if self.schema.registry_mode == schema::RegistryMode::Automatic {
+            self.schema.registry_mode = schema::RegistryMode::Subscribe;
+            if self.schema.rules.ask_within <= 0.0 {
+                self.schema.rules.ask_within = DEFAULT_ASK_WITHIN_S;
             }
         }
         self
@@ -79,7 +111,7 @@
     /// The classes that clients may name.
     #[must_use]
     pub fn classes(&self) -> Vec<RequestClass> {
-        self.0.classes.iter().map(request_class).collect()
+        self.schema.classes.iter().map(request_class).collect()
     }
 
     /// What bounds an adapter that publishes decisions.
@@ -88,7 +120,7 @@
         PublishingLimits {
             exposure: self.exposure(),
             slow_start: self.slow_start(),
-            max_attempts: self.0.permissions.try_limit,
+            max_attempts: self.schema.permissions.try_limit,
         }
     }
 
@@ -98,9 +130,9 @@
         Policy::new(PolicyConfig {
             seed,
             identity: GatewayIdentity {
-                index: self.0.me,
-                gateway_count: self.0.replicas_of_me,
-                zone: self.0.locality.clone(),
+                index: self.schema.me,
+                gateway_count: self.schema.replicas_of_me,
+                zone: self.schema.locality.clone(),
             },
             classes: self.classes(),
             permissions: self.permissions(),
@@ -108,12 +140,12 @@
             slow_start: self.slow_start(),
             exposure: self.exposure(),
             voting: self.voting(),
-            costs: CostConfig { cross_zone: self.0.prices.cross_zone },
+            costs: CostConfig { cross_zone: self.schema.prices.cross_zone },
         })
     }
 
     fn permissions(&self) -> Permissions {
-        let permissions = &self.0.permissions;
+        let permissions = &self.schema.permissions;
         Permissions {
             max_attempts: permissions.try_limit,
             hedging: permissions.second_copies,
@@ -126,14 +158,18 @@
 
     fn discovery(&self) -> DiscoveryConfig {
         DiscoveryConfig {
-            must_subscribe: self.0.registry_mode == schema::RegistryMode::Subscribe,
-            max_poll_interval: ms(self.0.rules.ask_within),
-            drain_grace: ms(self.0.rules.drain_grace),
+            must_subscribe: self.schema.registry_mode == schema::RegistryMode::Subscribe,
+            max_poll_interval: ms(self.schema.rules.ask_within),
+            update_delay_after_loss: self.update_delays.after_loss,
+            update_delay_after_silence: self.update_delays.after_silence,
+            update_delay_after_move: self.update_delays.after_move,
+            update_delay_after_failed_start: self.update_delays.after_failed_start,
+            drain_grace: ms(self.schema.rules.drain_grace),
         }
     }
 
     fn slow_start(&self) -> SlowStartConfig {
-        let rules = &self.0.rules;
+        let rules = &self.schema.rules;
         SlowStartConfig {
             initial_capacity: rules.cold_from,
             duration: ms(rules.warm_up),
@@ -143,7 +179,7 @@
     }
 
     fn exposure(&self) -> ExposureConfig {
-        let domain = &self.0.domain;
+        let domain = &self.schema.domain;
         ExposureConfig {
             allowance: domain.allowance,
             stage_caps: domain.caps.clone(),
@@ -155,7 +191,7 @@
     }
 
     fn voting(&self) -> VotingConfig {
-        let domain = &self.0.domain;
+        let domain = &self.schema.domain;
         VotingConfig {
             mode: match domain.vote_mode {
                 schema::VoteMode::Single => VoteMode::Single,
--- a/crates/simulator-protocol/tests/lines.rs
+++ b/crates/simulator-protocol/tests/lines.rs
@@ -30,7 +30,7 @@
     Event::ResponseStarted { id: RequestId(7), attempt: 1, endpoint: "a:1".into(), elapsed: 250.0 })]
 #[case("RESOLVED handle=7 ending=turned_away go=1 duration-s=0.5 instance=a:1 metrics=rif:3,rate:2.5",
     Event::AttemptCompleted(CompletedAttempt { id: RequestId(7), attempt: 1, endpoint: "a:1".into(), outcome: AttemptOutcome::Rejected, is_final: false,
-        elapsed: 500.0, load: LoadReport::from_iter([("rif".into(), 3.0), ("rate".into(), 2.5)]) }))]
+        elapsed: 500.0, load: LoadReport::from_iter([("rif".into(), 3.0), ("rate".into(), 2.5)]), connected_at: None }))]
 #[case("CHECK_RESULT duration-s=0.5 instance=a:1 ending=no_connection",
     Event::HealthCheckCompleted { endpoint: "a:1".into(), outcome: AttemptOutcome::ConnectFailed, elapsed: 500.0, load: LoadReport::default() })]
 #[case("PEER_DATA by=2 payload=aGk=", Event::PeerMessage { from: 2, data: b"hi".to_vec() })]
