New processes answer the probe in front once they hold a list; small fleets spread calls too

So the list is gone by for the grace only, calls of any fleet of some twenty or more spread over 4 s, and the empty query by which the front takes a process in is answered once the list is confirmed, 4.5 s after the start at the latest, or as soon as the client writes on. Everything else is answered as before.

Tests: readiness, leases by cause of the loss, proofs by connections, lost updates, moves; an endpoint that answers on.

--- a/crates/cli/tests/gateway/main.rs
+++ b/crates/cli/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod discovery;
 mod platform;
+mod readiness;
 mod shutdown;
 mod stale_list;
 mod support;
--- a/crates/cli/tests/gateway/stale_list.rs
+++ b/crates/cli/tests/gateway/stale_list.rs
@@ -14,6 +14,8 @@
 const DRAIN_GRACE: Duration = Duration::from_secs(1);
 /// A discovery service that has too many callers.
 const OVERLOADED: u16 = 503;
+/// Time between two requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// The SQLSTATE of a request that was not executed.
 const REJECTED: &str = "53300";
 
@@ -58,3 +60,28 @@
     assert_eq!(ask(&mut gateway.client(), "a1"), Err(SqlState::from(REJECTED)));
     assert!(server.queries().is_empty());
 }
+
+#[test]
+fn endpoint_that_keeps_answering_is_used_until_its_process_is_replaced() {
+    let server = FakeServer::start(ServerBehavior::Succeed);
+    let gateway = Gateway::start_watching(&[&server], |_| ());
+    let mut client = gateway.client();
+    assert_eq!(ask(&mut client, "a0"), Ok("a0".to_string()));
+    gateway.discovery.set_reply(|_| overloaded());
+    gateway.discovery.close_streams();
+    let lost_at = Instant::now();
+    while lost_at.elapsed() < MAX_UPDATE_DELAY + DRAIN_GRACE + DRAIN_GRACE {
+        assert_eq!(ask(&mut client, "a1"), Ok("a1".to_string()), "it answers as before the loss");
+        thread::sleep(REQUEST_INTERVAL);
+    }
+    // Another process at the address answers as well: that proves nothing.
+    server.close_connections();
+    let replaced_at = Instant::now();
+    while replaced_at.elapsed() < MAX_UPDATE_DELAY + DRAIN_GRACE {
+        let _ = ask(&mut client, "a2");
+        thread::sleep(REQUEST_INTERVAL);
+    }
+    let before = server.queries().len();
+    assert_eq!(ask(&mut client, "a3"), Err(SqlState::from(REJECTED)));
+    assert_eq!(server.queries().len(), before);
+}
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 use crate::net::discovery_tasks::DiscoveryTasks;
 use crate::net::platform::Vote;
 use crate::net::upstream::UpstreamPool;
+use crate::readiness::ReadinessSender;
 use latchhaven_policy::{Event, Policy, UpstreamConnectionConfig};
 use request_table::RequestTable;
 use rollout_tracker::RolloutTracker;
@@ -41,6 +42,8 @@
     pub connections: UpstreamConnectionConfig,
     /// The discovery service.
     pub discovery_address: SocketAddr,
+    /// Tells clients that the gateway is ready.
+    pub readiness: ReadinessSender,
     /// Votes for the platform.
     pub votes: mpsc::Sender<Vote>,
     /// Where calls for the endpoint list send their answers.
@@ -61,6 +64,7 @@
     rollout: RolloutTracker,
     discovery: EndpointListClient,
     discovery_tasks: DiscoveryTasks,
+    readiness: ReadinessSender,
     votes: mpsc::Sender<Vote>,
 }
 
@@ -79,6 +83,7 @@
             rollout: RolloutTracker::default(),
             discovery: EndpointListClient::new(parts.discovery_address),
             discovery_tasks: DiscoveryTasks::new(parts.events),
+            readiness: parts.readiness,
             votes: parts.votes,
         }
     }
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -73,7 +73,10 @@
         let list_version = list.version;
         let entries = self.apply_list(kind, list);
         match is_current {
-            true => Event::EndpointUpdate { kind, list_version, entries },
+            true => {
+                self.readiness.set_ready();
+                Event::EndpointUpdate { kind, list_version, entries }
+            }
             false => Event::EndpointUpdateFromPreviousAddress { kind, entries },
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod gateway;
 pub mod net;
 pub mod proto;
+pub mod readiness;
 pub mod serve;
--- a/crates/gateway/src/net/clients/mod.rs
+++ b/crates/gateway/src/net/clients/mod.rs
@@ -18,6 +18,7 @@
 
 use super::DriverEvent;
 use crate::clock::Clock;
+use crate::readiness::Readiness;
 use bytes::Bytes;
 use latchhaven_policy::{Idempotency, RequestClass};
 use limits::MAX_LARGE_MESSAGES;
@@ -48,14 +49,28 @@
     next_request: Cell<u32>,
     shutdown: Shutdown,
     clock: Clock,
+    readiness: Readiness,
     events: mpsc::Sender<DriverEvent>,
 }
 
+/// What clients are served with.
+pub struct ClientsConfig {
+    /// Connections at most.
+    pub max_sessions: usize,
+    /// The classes that clients may name.
+    pub classes: Vec<RequestClass>,
+    /// The gateway's clock.
+    pub clock: Clock,
+    /// When probes are answered.
+    pub readiness: Readiness,
+    /// The gateway's events.
+    pub events: mpsc::Sender<DriverEvent>,
+}
+
 impl Clients {
-    /// No connections yet, and later `max_sessions` at most.
-    pub fn new(
-        max_sessions: usize, classes: Vec<RequestClass>, clock: Clock, events: mpsc::Sender<DriverEvent>,
-    ) -> Rc<Self> {
+    /// No connections yet.
+    pub fn new(config: ClientsConfig) -> Rc<Self> {
+        let ClientsConfig { max_sessions, classes, clock, readiness, events } = config;
         let shutdown = Shutdown::new(&classes);
         let known_classes = classes.into_iter().map(|class| KnownClass {
             name: class.name,
@@ -71,6 +86,7 @@
             next_request: Cell::new(0),
             shutdown,
             clock,
+            readiness,
             events,
         })
     }
--- a/crates/gateway/src/net/clients/session.rs
+++ b/crates/gateway/src/net/clients/session.rs
@@ -6,6 +6,7 @@
 use super::read_buffer::ReadBuffer;
 use super::reading::ReadOutcome;
 use crate::counters::{COUNTERS, Metric};
+use crate::net::read_some;
 use crate::proto::pg::{self, Frontend, FrontendMessage};
 use bytes::Bytes;
 use latchhaven_policy::Millis;
@@ -13,6 +14,7 @@
 use std::io;
 use std::ops::ControlFlow;
 use tokio::net::TcpStream;
+use tokio::select;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -165,6 +167,7 @@
                 return self.on_bad_query(code, "only simple queries are known here", false).await;
             }
             FrontendMessage::Query(text) if text.trim_ascii().is_empty() => {
+                self.wait_until_ready().await?;
                 let empty = Bytes::from_static(pg::encode::EMPTY_QUERY);
                 self.write(&[empty, Bytes::from_static(pg::encode::READY)]).await?;
             }
@@ -173,6 +176,24 @@
         Ok(Step::Continue(()))
     }
 
+    /// Waits until the gateway is ready, unless its client goes away, writes on, or is to leave.
+    async fn wait_until_ready(&mut self) -> io::Result<()> {
+        if !self.input.bytes.is_empty() {
+            return Ok(());
+        }
+        select! {
+            biased;
+            () = self.clients.readiness.wait() => {}
+            () = self.session.wake.notified() => self.session.wake.notify_one(),
+            read = read_some(self.stream, &mut self.input.bytes) => {
+                if read? == 0 {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+            }
+        }
+        Ok(())
+    }
+
     async fn on_query(&mut self, text: Bytes, arrived_at: Option<Millis>) -> io::Result<Step> {
         let statement = match self.clients.admit(text) {
             Ok(statement) => statement,
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -7,9 +7,10 @@
 use crate::config;
 use crate::counters::COUNTERS;
 use crate::gateway::{Gateway, GatewayParts};
-use crate::net::clients::Clients;
+use crate::net::clients::{Clients, ClientsConfig};
 use crate::net::upstream::UpstreamPool;
 use crate::net::{MAX_PENDING_EVENTS, platform};
+use crate::readiness::readiness;
 use bind::bind_with_retry;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -61,13 +62,21 @@
     let descriptors = config.max_sockets - RESERVED_DESCRIPTORS;
     let client_descriptors = descriptors * CLIENT_EIGHTHS / 8;
     let pool = UpstreamPool::new(descriptors - client_descriptors, connections.clone(), events.clone());
-    let clients = Clients::new(client_descriptors, config.settings.classes(), clock, events.clone());
+    let (readiness_sender, readiness) = readiness();
+    let clients = Clients::new(ClientsConfig {
+        max_sessions: client_descriptors,
+        classes: config.settings.classes(),
+        clock,
+        readiness,
+        events: events.clone(),
+    });
     let gateway = Gateway::new(GatewayParts {
         policy: config.settings.on_sockets().start_policy(config.seed),
         clock,
         pool,
         connections,
         discovery_address: config.addresses.discovery,
+        readiness: readiness_sender,
         votes,
         events,
     });
--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -65,8 +65,6 @@
     pub update_delay_after_loss: Millis,
     /// The same from the moment in which its watch fell silent.
     pub update_delay_after_silence: Millis,
-    /// What was listed before a process started counts as told to it this long after its first call failed.
-    pub update_delay_after_failed_start: Millis,
     /// What is listed counts as told this long after the discovery service moved to another address.
     pub update_delay_after_move: Millis,
     /// How long attempts may still be sent to an endpoint that was told to drain.
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -123,8 +123,7 @@
         match kind {
             UpdateKind::CachedSnapshot if registry.discovery.must_subscribe => {
                 registry.lease = ListLease::cached(&registry.discovery, now);
-                let delay =
-                    discovery_calls::first_call_delay(self.gateways, &registry.discovery, &mut self.rng);
+                let delay = discovery_calls::first_call_delay(self.gateways, &mut self.rng);
                 registry.next_poll_at = Some(now + delay);
             }
             UpdateKind::CachedSnapshot => {}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
     CostConfig, DiscoveryConfig, ExposureConfig, GatewayIdentity, LoadReporting, Permissions, PolicyConfig,
     SlowStartConfig, UpstreamConnectionConfig, VoteMode, VotingConfig,
 };
+pub use discovery_calls::MAX_FIRST_CALL_DELAY;
 pub use dispatch::Policy;
 pub use endpoint::{EndpointEntry, EndpointStatus, UpdateFailure, UpdateKind};
 pub use event::{CompletedAttempt, EndpointOutcomes, Event, IncomingRequest, OutcomeReport};
--- a/crates/policy/src/list_lease.rs
+++ b/crates/policy/src/list_lease.rs
@@ -39,25 +39,15 @@
         }
     }
 
-    /// A list from an earlier process: nobody knows its age.
+    /// A list from an earlier process: nobody knows its age, and whatever has changed since may count as told at once.
     pub(crate) fn cached(discovery: &DiscoveryConfig, now: Millis) -> Self {
         ListLease {
             confirmed_at: f64::NEG_INFINITY,
-            expires_at: now + ListLease::cached_duration(discovery),
+            expires_at: now + discovery.drain_grace - LEASE_MARGIN,
             lost_update_at: now,
         }
     }
 
-    /// How long a list from an earlier process is gone by: time for the first call, but no grace, since the list is older
-    /// than the process.
-    pub(crate) fn cached_duration(discovery: &DiscoveryConfig) -> Millis {
-        discovery.update_delay_after_loss.max(discovery.drain_grace) - LEASE_MARGIN
-    }
-
-    fn is_cached(&self) -> bool {
-        self.confirmed_at == f64::NEG_INFINITY
-    }
-
     /// True while a watch stands.
     pub(crate) fn is_confirmed(&self) -> bool {
         self.confirmed_at == f64::INFINITY
@@ -65,9 +55,6 @@
 
     /// A call failed or the watch broke. A failure never extends a lease.
     pub(crate) fn fail(&mut self, failure: &UpdateFailure, discovery: &DiscoveryConfig, now: Millis) {
-        if self.is_cached() {
-            self.shorten(now + discovery.update_delay_after_failed_start, discovery);
-        }
         let is_silent = failure.silent_for > 0.0;
         let confirmed_at = now - failure.silent_for;
         let delay = match is_silent {
--- a/crates/policy/tests/policy/main.rs
+++ b/crates/policy/tests/policy/main.rs
@@ -9,6 +9,7 @@
 mod discovery_overload;
 mod exposure;
 mod fleet;
+mod list_lease;
 mod outliers;
 mod reports;
 mod retries;
--- a/crates/policy/tests/policy/support/config.rs
+++ b/crates/policy/tests/policy/support/config.rs
@@ -1,14 +1,15 @@
 //! A policy's configuration, with what tests vary.
 
 use latchhaven_policy::{
-    CostConfig, DedupScope, DiscoveryConfig, ExposureConfig, GatewayIdentity, Idempotency, Permissions,
-    PolicyConfig, RequestClass, SlowStartConfig, VotingConfig,
+    CostConfig, DedupScope, DiscoveryConfig, ExposureConfig, GatewayIdentity, Idempotency, Millis,
+    Permissions, PolicyConfig, RequestClass, SlowStartConfig, VotingConfig,
 };
 
 /// What tests vary of a policy's configuration.
 pub(crate) struct TestConfig {
     pub(crate) seed: u64,
     pub(crate) gateway_count: u32,
+    pub(crate) update_delay_after_loss: Millis,
     pub(crate) classes: Vec<RequestClass>,
     pub(crate) permissions: Permissions,
     pub(crate) exposure: ExposureConfig,
@@ -36,6 +37,7 @@
         TestConfig {
             seed: 7,
             gateway_count: 4,
+            update_delay_after_loss: 6000.0,
             classes: vec![
                 class("look", Idempotency::Idempotent, DedupScope::All),
                 class("book", Idempotency::IdempotencyKey, DedupScope::Zone),
@@ -77,10 +79,9 @@
             discovery: DiscoveryConfig {
                 must_subscribe: true,
                 max_poll_interval: 10_000.0,
-                update_delay_after_loss: 6000.0,
+                update_delay_after_loss: config.update_delay_after_loss,
                 update_delay_after_silence: 6000.0,
                 update_delay_after_move: 4000.0,
-                update_delay_after_failed_start: 0.0,
                 drain_grace: 1000.0,
             },
             slow_start: SlowStartConfig {
--- a/crates/simulator-protocol/src/settings/mod.rs
+++ b/crates/simulator-protocol/src/settings/mod.rs
@@ -31,7 +31,6 @@
     after_loss: Millis,
     after_silence: Millis,
     after_move: Millis,
-    after_failed_start: Millis,
 }
 
 /// The settings that an instance is started with, checked.
@@ -61,12 +60,7 @@
         .map_err(|error| SettingsError::Malformed(error.to_string()))?;
     checks::consistency(&schema)?;
     let delay = FAILED_CALL_POLLS * ms(schema.rules.ask_within);
-    let update_delays = UpdateDelays {
-        after_loss: delay,
-        after_silence: delay,
-        after_move: delay,
-        after_failed_start: delay,
-    };
+    let update_delays = UpdateDelays { after_loss: delay, after_silence: delay, after_move: delay };
     Ok(Settings { schema, update_delays })
 }
 
@@ -97,7 +91,6 @@
             after_loss: if is_pushed { 0.0 } else { SOCKET_UPDATE_DELAY },
             after_silence: SOCKET_UPDATE_DELAY,
             after_move: SOCKET_MOVE_DELAY,
-            after_failed_start: 0.0,
         };
         if self.schema.registry_mode == schema::RegistryMode::Automatic {
             self.schema.registry_mode = schema::RegistryMode::Subscribe;
@@ -163,7 +156,6 @@
             update_delay_after_loss: self.update_delays.after_loss,
             update_delay_after_silence: self.update_delays.after_silence,
             update_delay_after_move: self.update_delays.after_move,
-            update_delay_after_failed_start: self.update_delays.after_failed_start,
             drain_grace: ms(self.schema.rules.drain_grace),
         }
     }
