--- a/crates/experiments/src/rollout_simulation/gateways.rs
+++ b/crates/experiments/src/rollout_simulation/gateways.rs
@@ -56,7 +56,7 @@
     fn perform(&mut self, index: usize, action: Action) -> bool {
         match action {
             Action::SendAttempt { id, endpoint, .. } => self.send_attempt(id, host_of_endpoint(&endpoint)),
-            Action::Reject { id, .. } | Action::Fail { id } => {
+            Action::Reject { id, .. } | Action::Fail { id, .. } => {
                 self.close_request(id, false);
                 self.remove_finished(id);
             }
--- a/crates/gateway/src/gateway/event_loop.rs
+++ b/crates/gateway/src/gateway/event_loop.rs
@@ -129,8 +129,8 @@
             Action::SendAttempt { id, endpoint, timeout, write_within } => {
                 self.send_attempt(id, endpoint, timeout, write_within);
             }
-            Action::Reject { id, retry_after } => self.reject(id, retry_after),
-            Action::Fail { id } => self.fail(id),
+            Action::Reject { id, retry_after, reason } => self.reject(id, retry_after, reason),
+            Action::Fail { id, reason } => self.fail(id, reason),
             Action::CancelAttempt { id, attempt } => {
                 let mut events = Vec::new();
                 self.stop(UpstreamCall::Attempt { id, attempt }, AttemptOutcome::Cancelled, &mut events);
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -5,9 +5,10 @@
 //! - `requests`: requests from their arrival to their answer.
 //! - `upstream_calls`: attempts and health checks from their start to their end.
 //! - `updates`: the endpoint list and the rollout's state.
-//! - `request_table`, `rollout_tracker`, `timers`: the state that belongs together.
+//! - `request_table`, `rollout_tracker`, `list_confirmation`, `timers`: the state that belongs together.
 
 mod event_loop;
+mod list_confirmation;
 mod request_table;
 mod requests;
 mod rollout_tracker;
@@ -23,6 +24,7 @@
 use crate::net::upstream::UpstreamPool;
 use crate::readiness::ReadinessSender;
 use latchhaven_policy::{Event, Policy, UpstreamConnectionConfig};
+use list_confirmation::ListConfirmation;
 use request_table::RequestTable;
 use rollout_tracker::RolloutTracker;
 use std::net::SocketAddr;
@@ -65,6 +67,7 @@
     discovery: EndpointListClient,
     discovery_tasks: DiscoveryTasks,
     readiness: ReadinessSender,
+    list_confirmation: ListConfirmation,
     votes: mpsc::Sender<Vote>,
 }
 
@@ -84,6 +87,7 @@
             discovery: EndpointListClient::new(parts.discovery_address),
             discovery_tasks: DiscoveryTasks::new(parts.events),
             readiness: parts.readiness,
+            list_confirmation: ListConfirmation::default(),
             votes: parts.votes,
         }
     }
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -19,6 +19,7 @@
             Ok(list) => list,
             Err(failure) => {
                 if self.discovery.on_failure(call) {
+                    self.list_confirmation.lose();
                     events.push(Event::EndpointUpdateFailed(failure));
                 }
                 return;
@@ -48,6 +49,7 @@
                 );
                 COUNTERS.discovery_failures_total.increment();
                 if is_current {
+                    self.list_confirmation.lose();
                     let failure = UpdateFailure { may_have_lost_update: true, ..UpdateFailure::default() };
                     events.push(Event::EndpointUpdateFailed(failure));
                 }
@@ -59,6 +61,7 @@
     pub(super) fn on_discovery_moved(&mut self, address: SocketAddr, events: &mut Vec<Event>) {
         let tasks = &self.discovery_tasks;
         if self.discovery.on_address_changed(address, |call| tasks.is_finished(call)) {
+            self.list_confirmation.lose();
             events.push(Event::DiscoveryMoved);
         }
         self.run_discovery_commands();
@@ -75,6 +78,7 @@
         match is_current {
             true => {
                 self.readiness.set_ready();
+                self.list_confirmation.confirm(list_version);
                 Event::EndpointUpdate { kind, list_version, entries }
             }
             false => Event::EndpointUpdateFromPreviousAddress { kind, entries },
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -4,6 +4,25 @@
 use crate::request::RequestId;
 use crate::rollout::{Verdict, Version};
 
+/// Why a request gets a final answer without a result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnservedReason {
+    /// Too few requests are served well: a share is rejected at once.
+    Overload,
+    /// No endpoint could take it in time.
+    NoEndpoint,
+    /// The endpoint list has not been confirmed for too long, and no endpoint has proven itself since.
+    ListExpired,
+    /// Its attempts failed, and another one is not allowed or would be late.
+    AttemptsFailed,
+    /// Its time is up.
+    Overdue,
+    /// The adapter asked for the answer.
+    Abandoned,
+    /// Its class is not known.
+    UnknownClass,
+}
+
 /// Something to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -25,11 +44,15 @@
         id: RequestId,
         /// How long the client should wait before it retries.
         retry_after: Option<Millis>,
+        /// Why, for logs and counters.
+        reason: UnservedReason,
     },
     /// Final answer: failed, with no promise as to its effect.
     Fail {
         /// The request.
         id: RequestId,
+        /// Why, for logs and counters.
+        reason: UnservedReason,
     },
     /// Stop waiting for one attempt.
     CancelAttempt {
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -5,7 +5,7 @@
 use crate::policy::RATE_WINDOW;
 use crate::retry::{MAX_RETRY_BUDGET, RETRY_BUDGET_PER_REQUEST};
 use crate::state::Request;
-use crate::{Action, DedupScope, Idempotency, IncomingRequest, Millis, RequestId};
+use crate::{Action, DedupScope, Idempotency, IncomingRequest, Millis, RequestId, UnservedReason};
 use rand::RngExt;
 
 /// Share of a tenant's requests served well under which some are rejected at once.
@@ -26,7 +26,7 @@
     pub(crate) fn on_request(&mut self, request: IncomingRequest, now: Millis) {
         let id = request.id;
         let Some(class) = self.class_named(&request.class) else {
-            return self.actions.push(Action::Fail { id });
+            return self.actions.push(Action::Fail { id, reason: UnservedReason::UnknownClass });
         };
         if !request.is_retry {
             self.registry.arrivals.record(now, 2.0 * RATE_WINDOW);
@@ -38,7 +38,11 @@
         let draw = self.rng.random::<f64>();
         let is_shed = draw < shed_factor * self.shed_probability(&request.tenant, now);
         self.requests.requests.insert(id, Request::new(request, class, objective, now));
-        if is_shed { self.answer_unserved(id, now) } else { self.requests.queue.push(id) }
+        if is_shed {
+            self.answer_unserved(id, UnservedReason::Overload, now);
+        } else {
+            self.requests.queue.push(id);
+        }
     }
 
     /// The time left for an answer in time: for a retry that of its first attempt.
@@ -82,7 +86,9 @@
         self.registry.refill_slow_start_tokens(now);
         if self.registry.is_list_expired(now) {
             let waiting = std::mem::take(&mut self.requests.queue);
-            return waiting.into_iter().for_each(|id| self.answer_unserved(id, now));
+            return waiting
+                .into_iter()
+                .for_each(|id| self.answer_unserved(id, UnservedReason::ListExpired, now));
         }
         let sides = [self.partition(true), self.partition(false)];
         let classes = &self.classes;
@@ -96,12 +102,16 @@
             if is_in_time && sides.iter().any(|sides| self.route(id, sides, now)) {
                 continue;
             }
-            if is_hopeless { self.answer_unserved(id, now) } else { self.requests.queue.push(id) }
+            if is_hopeless {
+                self.answer_unserved(id, UnservedReason::NoEndpoint, now);
+            } else {
+                self.requests.queue.push(id);
+            }
         }
     }
 
     /// The gate of all final answers without a result: rejected where a retry is harmless, failed otherwise.
-    pub(crate) fn answer_unserved(&mut self, id: RequestId, now: Millis) {
+    pub(crate) fn answer_unserved(&mut self, id: RequestId, reason: UnservedReason, now: Millis) {
         let Some(request) = self.requests.unanswered(id) else { return };
         let class = &self.classes[request.class];
         let is_retry_harmless = match class.idempotency {
@@ -111,8 +121,8 @@
         };
         let retry_after = self.permissions.max_retry_after.map(|max| class.latency_objective.min(max));
         self.actions.push(match is_retry_harmless {
-            true => Action::Reject { id, retry_after },
-            false => Action::Fail { id },
+            true => Action::Reject { id, retry_after, reason },
+            false => Action::Fail { id, reason },
         });
         self.close(id, 0.0, now);
     }
--- a/crates/policy/src/discovery_calls.rs
+++ b/crates/policy/src/discovery_calls.rs
@@ -15,10 +15,10 @@
 /// Share of that span over which watches are opened anew that broke, and that passes before a failed call is repeated:
 /// what waits at an overloaded service has to be worked through first.
 const SHORT_SHARE: f64 = 1.0 / 3.0;
-/// Times the span grows with each call that fails: some hundred calls a second may still be too many.
-const RETRY_SPREAD_GROWTH: f64 = 1.4;
-/// Times the polling interval that the span may reach.
-const MAX_SPREAD_OF_POLLS: f64 = 1.6;
+/// Times the span grows with each call that fails: a small fleet may have too many calls as well.
+const RETRY_SPREAD_GROWTH: f64 = 2.0;
+/// Share of the polling interval that the span may reach: a fleet that waited out an outage has to learn of its end.
+const MAX_SPREAD_OF_POLLS: f64 = 0.8;
 
 /// Time until a new process calls for the list.
 pub(crate) fn first_call_delay(gateways: u32, rng: &mut Pcg64Mcg) -> Millis {
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -13,8 +13,8 @@
 };
 use crate::statistics::indicator;
 use crate::{
-    Action, EndpointEntry, Event, Millis, PolicySnapshot, RequestClass, RequestId, UpdateFailure, UpdateKind,
-    Version, VoteOutcome, admission, discovery_calls, outlier, policy, retry,
+    Action, EndpointEntry, Event, Millis, PolicySnapshot, RequestClass, RequestId, UnservedReason,
+    UpdateFailure, UpdateKind, Version, VoteOutcome, admission, discovery_calls, outlier, policy, retry,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -92,7 +92,7 @@
                 }
             }
             Event::AttemptCompleted(attempt) => self.on_attempt_completed(&attempt, now),
-            Event::Abandon { id } => self.answer_unserved(id, now),
+            Event::Abandon { id } => self.answer_unserved(id, UnservedReason::Abandoned, now),
             Event::ClientDisconnected { id } => self.close(id, 0.0, now),
             Event::RolloutUpdate(rollout) | Event::VoteCompleted(VoteOutcome::Counted(rollout)) => {
                 self.exposure.apply_rollout(rollout);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,7 +27,7 @@
 pub mod state;
 pub mod statistics;
 
-pub use action::Action;
+pub use action::{Action, UnservedReason};
 pub use config::{
     CostConfig, DiscoveryConfig, ExposureConfig, GatewayIdentity, LoadReporting, Permissions, PolicyConfig,
     SlowStartConfig, UpstreamConnectionConfig, VoteMode, VotingConfig,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -6,7 +6,7 @@
 use crate::state::FleetView;
 use crate::statistics::indicator;
 use crate::verdict::ROLLBACK_ERROR_RATE;
-use crate::{Action, AttemptOutcome, CompletedAttempt, Event, Millis};
+use crate::{Action, AttemptOutcome, CompletedAttempt, Event, Millis, UnservedReason};
 
 /// ms between looks at queued and unresponsive requests: a few of the finest batches.
 const TICK: Millis = 10.0;
@@ -107,7 +107,7 @@
             self.close(id, quality, now);
         } else if request.is_open() && request.attempts_in_flight() == 0 {
             if now >= request.objective_deadline - SAFETY_MARGIN || !self.can_retry(id) {
-                self.answer_unserved(id, now);
+                self.answer_unserved(id, UnservedReason::AttemptsFailed, now);
             } else if !self.requests.queue.contains(&id) {
                 self.requests.queue.push(id);
             }
@@ -123,7 +123,7 @@
         }
         let unresponsive = self.unresponsive_attempts(now);
         let overdue = self.requests.overdue(now);
-        overdue.into_iter().for_each(|id| self.answer_unserved(id, now));
+        overdue.into_iter().for_each(|id| self.answer_unserved(id, UnservedReason::Overdue, now));
         unresponsive.into_iter().for_each(|(id, attempt)| self.hedge_or_retry(id, attempt, now));
         if let Some(rollout) = self.exposure.rollout
             && now - self.analysis.analysed_at >= ANALYSIS_INTERVAL - TIMER_ROUNDING
--- a/crates/policy/tests/policy/support/mod.rs
+++ b/crates/policy/tests/policy/support/mod.rs
@@ -249,7 +249,7 @@
                     found.outcome = AttemptOutcome::Cancelled;
                 }
             }
-            Action::Reject { id, .. } | Action::Fail { id } => {
+            Action::Reject { id, .. } | Action::Fail { id, .. } => {
                 self.answers.entry(*id).or_default().push((self.now, action.clone()));
             }
             _ => {}
--- a/crates/simulator-protocol/src/actions.rs
+++ b/crates/simulator-protocol/src/actions.rs
@@ -17,11 +17,11 @@
             }
             writeln!(out)
         }
-        Action::Reject { id, retry_after: Some(after) } => {
+        Action::Reject { id, retry_after: Some(after), .. } => {
             writeln!(out, "DENY handle={id} retry-after-s={}", seconds(*after))
         }
-        Action::Reject { id, retry_after: None } => writeln!(out, "DENY handle={id}"),
-        Action::Fail { id } => writeln!(out, "FAIL handle={id}"),
+        Action::Reject { id, retry_after: None, .. } => writeln!(out, "DENY handle={id}"),
+        Action::Fail { id, .. } => writeln!(out, "FAIL handle={id}"),
         Action::CancelAttempt { id, attempt } => writeln!(out, "ABANDON handle={id} go={attempt}"),
         Action::SetTimer { after, token } => {
             writeln!(out, "WAKE_ME delay-s={} handle={token}", seconds(*after))
--- a/crates/simulator-protocol/tests/lines.rs
+++ b/crates/simulator-protocol/tests/lines.rs
@@ -58,9 +58,9 @@
 
 #[rstest]
 #[case(Action::SendAttempt { id: RequestId(7), endpoint: "a:1".into(), timeout: Some(80.0), write_within: None }, "PASS_ON handle=7 instance=a:1 max-wait-s=0.08")]
-#[case(Action::Reject { id: RequestId(7), retry_after: Some(500.0) }, "DENY handle=7 retry-after-s=0.5")]
-#[case(Action::Reject { id: RequestId(7), retry_after: None }, "DENY handle=7")]
-#[case(Action::Fail { id: RequestId(7) }, "FAIL handle=7")]
+#[case(Action::Reject { id: RequestId(7), retry_after: Some(500.0), reason: UnservedReason::Overload }, "DENY handle=7 retry-after-s=0.5")]
+#[case(Action::Reject { id: RequestId(7), retry_after: None, reason: UnservedReason::Overload }, "DENY handle=7")]
+#[case(Action::Fail { id: RequestId(7), reason: UnservedReason::Overload }, "FAIL handle=7")]
 #[case(Action::CancelAttempt { id: RequestId(7), attempt: 2 }, "ABANDON handle=7 go=2")]
 #[case(Action::SetTimer { after: 10.0, token: "t".into() }, "WAKE_ME delay-s=0.01 handle=t")]
 #[case(Action::HealthCheck { endpoint: "a:1".into() }, "SOUND_OUT instance=a:1")]
