--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -4,6 +4,7 @@
 mod event_queue;
 mod reconnect_storm;
 mod rollout_simulation;
+mod soak;
 mod xds;
 
 use clap::{Parser, Subcommand};
@@ -27,6 +28,8 @@
     /// Days in simulated time: routed by handouts, by gateways, and evenly.
     #[command(name = "day")]
     RolloutSimulation(rollout_simulation::Sizes),
+    /// Gateways as processes under faults, judged by the rules.
+    Soak(soak::Sizes),
 }
 
 fn main() -> ExitCode {
@@ -34,6 +37,7 @@
         Command::Xds(sizes) => xds::run(&sizes),
         Command::ReconnectStorm(sizes) => reconnect_storm::run(&sizes),
         Command::RolloutSimulation(sizes) => rollout_simulation::run(&sizes),
+        Command::Soak(sizes) => soak::run(&sizes),
     };
     println!("{figures}");
     if is_passed { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- /dev/null
+++ b/crates/experiments/src/soak/schedule.rs
@@ -0,0 +1,120 @@
+//! Which faults a run plays, and when: the same seed gives the same schedule.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// ms before the first fault: all gateways hold a list by then.
+const QUIET_START: u64 = 2000;
+/// ms before the end in which no fault begins.
+const QUIET_END: u64 = 4000;
+/// ms between two faults.
+const FAULT_INTERVAL: std::ops::Range<u64> = 150..1500;
+/// ms of an outage of discovery: shorter and longer than the time after which updates count as told.
+const OUTAGE: std::ops::Range<u64> = 300..9000;
+/// Chance that a run has crowds of clients.
+const CROWD_SHARE: f64 = 0.4;
+
+/// How discovery fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DiscoveryFault {
+    /// Calls end with 503.
+    Unavailable,
+    /// Calls are not answered; open watches stay open and say nothing.
+    Silent,
+    /// Answers are cut off within a list.
+    CutOff,
+}
+
+/// One fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Fault {
+    /// SIGKILL without notice, and a new start.
+    Kill { gateway: usize },
+    /// SIGTERM, SIGKILL at the earliest time allowed, and a new start.
+    Restart { gateway: usize },
+    /// SIGHUPs with discovery at another address each time.
+    Reload { gateway: usize, times: u32 },
+    /// The process stands still for a moment.
+    Pause { gateway: usize, duration: Duration },
+    /// Discovery fails for one gateway, or for all.
+    Discovery { gateway: Option<usize>, fault: DiscoveryFault, duration: Duration },
+    /// A server drains, vanishes, and returns at its address some time before it is listed again.
+    Replace { server: usize },
+    /// A server is silent for a while.
+    Hang { server: usize, duration: Duration },
+    /// A server closes its connections.
+    Reset { server: usize },
+    /// Many clients come at once; half of them say nothing.
+    Crowd { gateway: usize },
+}
+
+impl Fault {
+    fn name(self) -> &'static str {
+        match self {
+            Fault::Kill { .. } => "kill",
+            Fault::Restart { .. } => "restart",
+            Fault::Reload { .. } => "reload",
+            Fault::Pause { .. } => "pause",
+            Fault::Discovery { .. } => "discovery",
+            Fault::Replace { .. } => "replace",
+            Fault::Hang { .. } => "hang",
+            Fault::Reset { .. } => "reset",
+            Fault::Crowd { .. } => "crowd",
+        }
+    }
+}
+
+/// The faults of a run, in order, each with its time since the start.
+pub(super) struct Schedule(pub(super) Vec<(Duration, Fault)>);
+
+impl Schedule {
+    /// Draws the faults of a seed.
+    pub(super) fn draw(seed: u64, gateways: usize, servers: usize, seconds: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let has_crowds = rng.random_bool(CROWD_SHARE);
+        let mut faults = Vec::new();
+        let mut at = QUIET_START;
+        while at + QUIET_END < seconds * 1000 {
+            let fault = draw_fault(&mut rng, gateways, servers, has_crowds);
+            faults.push((Duration::from_millis(at), fault));
+            at += rng.random_range(FAULT_INTERVAL);
+        }
+        Schedule(faults)
+    }
+
+    /// How many faults of each kind there are.
+    pub(super) fn counts(&self) -> BTreeMap<&'static str, usize> {
+        let mut counts = BTreeMap::new();
+        for (_, fault) in &self.0 {
+            *counts.entry(fault.name()).or_default() += 1;
+        }
+        counts
+    }
+}
+
+fn draw_fault(rng: &mut Pcg64Mcg, gateways: usize, servers: usize, has_crowds: bool) -> Fault {
+    let gateway = rng.random_range(0..gateways);
+    let server = rng.random_range(0..servers);
+    match rng.random_range(0..if has_crowds { 11 } else { 10 }) {
+        0 => Fault::Kill { gateway },
+        1 | 2 => Fault::Restart { gateway },
+        3 => Fault::Reload { gateway, times: rng.random_range(1..=3) },
+        4 => Fault::Pause { gateway, duration: Duration::from_millis(rng.random_range(20..150)) },
+        5 | 6 => draw_discovery_fault(rng, gateway),
+        7 | 8 => Fault::Replace { server },
+        9 if rng.random_bool(0.5) => Fault::Reset { server },
+        9 => Fault::Hang { server, duration: Duration::from_millis(rng.random_range(100..2000)) },
+        _ => Fault::Crowd { gateway },
+    }
+}
+
+fn draw_discovery_fault(rng: &mut Pcg64Mcg, gateway: usize) -> Fault {
+    let kinds = [DiscoveryFault::Unavailable, DiscoveryFault::Silent, DiscoveryFault::CutOff];
+    Fault::Discovery {
+        gateway: rng.random_bool(0.5).then_some(gateway),
+        fault: kinds[rng.random_range(0..kinds.len())],
+        duration: Duration::from_millis(rng.random_range(OUTAGE)),
+    }
+}
--- /dev/null
+++ b/crates/experiments/tests/soak.rs
@@ -0,0 +1,18 @@
+//! Short runs of the soak, by seed. Longer ones and more seeds are played by hand: `docs/results/incident-pellow.md`.
+
+use rstest::rstest;
+use std::process::Command;
+
+/// Seconds of faults and requests.
+const SECONDS: &str = "24";
+
+#[rstest]
+#[case::cut_off_lists(3)]
+#[case::crowds_and_silence(6)]
+fn rules_are_kept_under_faults(#[case] seed: u64) {
+    let mut soak = Command::new(env!("CARGO_BIN_EXE_latchhaven-experiments"));
+    soak.args(["soak", "--seed", &seed.to_string(), "--seconds", SECONDS]);
+    let output = soak.output().expect("the experiment runs");
+    let figures = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{figures}");
+}
--- a/crates/gateway/src/net/clients/accept.rs
+++ b/crates/gateway/src/net/clients/accept.rs
@@ -15,6 +15,14 @@
 use tokio::task::yield_now;
 use tokio::time::sleep;
 
+/// Accepts that may fail at the end of the listener: each may have been of one connection only.
+const MAX_FINAL_ACCEPT_FAILURES: usize = 1000;
+
+/// The error is of the connection that was to be accepted, or of the moment; the next accept may succeed at once.
+fn concerns_one_connection(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted)
+}
+
 impl Clients {
     /// Accepts until dropped.
     pub async fn accept(self: Rc<Self>, listener: &TcpListener) {
@@ -36,8 +44,10 @@
                         tracing::warn!(%error, "clients: accept failed");
                     }
                     COUNTERS.accept_errors_total.increment();
-                    self.evict_one();
-                    sleep(ACCEPT_RETRY_INTERVAL).await;
+                    if !concerns_one_connection(&error) {
+                        self.evict_one();
+                        sleep(ACCEPT_RETRY_INTERVAL).await;
+                    }
                 }
             }
         }
@@ -50,11 +60,22 @@
     /// A connection that the runtime cannot take.
     pub fn accept_rest(self: &Rc<Self>, listener: TcpListener) -> io::Result<()> {
         let listener = listener.into_std()?;
-        while let Ok((stream, _)) = listener.accept() {
-            stream.set_nonblocking(true)?;
-            self.clone().open_session(TcpStream::from_std(stream)?);
+        let mut failures = 0;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    self.clone().open_session(TcpStream::from_std(stream)?);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                // Others wait behind it.
+                Err(error) if failures < MAX_FINAL_ACCEPT_FAILURES => {
+                    tracing::debug!(%error, "clients: final accept failed, tried again");
+                    failures += 1;
+                }
+                Err(error) => return Err(error),
+            }
         }
-        Ok(())
     }
 
     fn open_session(self: Rc<Self>, stream: TcpStream) {
--- a/crates/gateway/src/net/io.rs
+++ b/crates/gateway/src/net/io.rs
@@ -35,6 +35,11 @@
     matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
 }
 
+/// Nothing was transferred, and nothing is wrong with the socket.
+fn is_retryable(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 /// Reads what is there, up to 16 KiB; 0: the peer has ended its sending.
 ///
 /// # Errors
@@ -47,7 +52,7 @@
         }
         buffer.reserve(MAX_READ);
         match stream.try_read_buf(buffer) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if is_retryable(&error) => {}
             Ok(read) if read >= MAX_READ => {
                 // A peer that never stops sending is always ready: its task would never let others run.
                 // Whoever drops this here finds what was read in the buffer.
@@ -73,6 +78,7 @@
         let (slices, count) = cursor.slices();
         match stream.try_write_vectored(&slices[..count]) {
             Ok(written) => cursor.advance(written),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
             Err(error) => return Err(error),
         }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -148,6 +148,9 @@
             registry.failed_calls += 1;
         }
         registry.lease.fail(failure, &registry.discovery, now);
+        if failure.may_have_lost_update {
+            registry.limit_proofs(ListLease::proof_limit(&registry.discovery, now));
+        }
         let delay = discovery_calls::retry_delay(
             registry.failed_calls,
             self.gateways,
--- a/crates/policy/src/list_lease.rs
+++ b/crates/policy/src/list_lease.rs
@@ -19,7 +19,7 @@
     confirmed_at: Millis,
     /// Until then attempts may be sent to every endpoint that is listed as ready.
     expires_at: Millis,
-    /// An update that was lost counts as told since then.
+    /// When an update may have been lost for the last time: what was proven before counts no longer.
     lost_update_at: Millis,
 }
 
@@ -80,20 +80,25 @@
         self.expires_at = self.expires_at.min(told_at + discovery.drain_grace - LEASE_MARGIN);
     }
 
-    /// Until when attempts may be sent to an endpoint that is listed as ready.
-    pub(crate) fn expires_at(&self, proven_at: Millis, discovery: &DiscoveryConfig) -> Millis {
+    /// Until when attempts may be sent to every endpoint that is listed as ready.
+    pub(crate) fn expires_at(&self) -> Millis {
+        self.expires_at
+    }
+
+    /// Until when attempts may be sent to an endpoint that has answered a query; none if that proves nothing. It proves
+    /// that the endpoint was not draining as the query was sent if the connection was up while the list was up to date,
+    /// so that no other process has taken its place, and if no update has been lost since.
+    pub(crate) fn proof_expires_at(
+        &self, connected_at: Option<Millis>, sent_at: Millis, discovery: &DiscoveryConfig,
+    ) -> Option<Millis> {
+        let is_same_process = connected_at.is_some_and(|connected_at| connected_at <= self.confirmed_at);
         let grace = PROOF_GRACE_SHARE * discovery.drain_grace;
-        let mut proof_expires_at = proven_at + discovery.update_delay_after_loss + grace;
-        if proven_at < self.lost_update_at {
-            proof_expires_at =
-                proof_expires_at.min(self.lost_update_at + discovery.drain_grace - LEASE_MARGIN);
-        }
-        self.expires_at.max(proof_expires_at)
+        let expires_at = sent_at + discovery.update_delay_after_loss + grace;
+        (is_same_process && sent_at > self.lost_update_at).then_some(expires_at)
     }
 
-    /// Whether an answer on a connection proves that its endpoint was not draining as the query was sent: the
-    /// connection was up while the list was up to date, so that no other process has taken the endpoint's place.
-    pub(crate) fn is_proof(&self, connected_at: Option<Millis>) -> bool {
-        connected_at.is_some_and(|connected_at| connected_at <= self.confirmed_at)
+    /// Until when an earlier proof holds once an update is lost.
+    pub(crate) fn proof_limit(discovery: &DiscoveryConfig, now: Millis) -> Millis {
+        now + discovery.drain_grace - LEASE_MARGIN
     }
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -70,12 +70,10 @@
         let request = &self.requests.requests[&id];
         let endpoint = &mut self.registry.endpoints[attempt.endpoint];
         let is_same_incarnation = endpoint.release(attempt.incarnation);
-        if is_same_incarnation
-            && outcome == AttemptOutcome::Success
-            && self.registry.lease.is_proof(connected_at)
-        {
-            endpoint.proven_at = endpoint.proven_at.max(attempt.sent_at);
+        if is_same_incarnation && outcome == AttemptOutcome::Success {
+            self.registry.record_proof(attempt.endpoint, connected_at, attempt.sent_at);
         }
+        let endpoint = &mut self.registry.endpoints[attempt.endpoint];
         // Where connections are refused all over, those that idle here take the places of others.
         let failed = indicator(outcome == AttemptOutcome::ConnectFailed);
         let failure_rate = &mut self.requests.connect_failure_rate;
--- a/crates/policy/src/state/endpoint.rs
+++ b/crates/policy/src/state/endpoint.rs
@@ -85,8 +85,8 @@
     pub concurrency_limit: f64,
     /// When it last answered.
     pub last_answer_at: Millis,
-    /// When an attempt was sent to it whose answer proved that it was not draining.
-    pub proven_at: Millis,
+    /// Until when its answers prove that it is neither draining nor replaced.
+    pub proof_expires_at: Millis,
     /// Share of its answers that are errors, of late.
     pub error_rate: f64,
     /// It gets nothing until then.
@@ -190,7 +190,7 @@
         self.incarnation += 1;
         self.in_flight = 0;
         self.concurrency_limit = concurrency_limit;
-        self.proven_at = f64::NEG_INFINITY;
+        self.proof_expires_at = f64::NEG_INFINITY;
         self.error_rate = 0.0;
         self.ejected_until = 0.0;
         self.ejection_count = 0;
--- a/crates/policy/src/state/registry.rs
+++ b/crates/policy/src/state/registry.rs
@@ -169,7 +169,25 @@
 
     /// Until when attempts may be sent to a ready endpoint.
     pub(crate) fn lease_expires_at(&self, index: EndpointIndex) -> Millis {
-        self.lease.expires_at(self.endpoints[index].proven_at, &self.discovery)
+        self.lease.expires_at().max(self.endpoints[index].proof_expires_at)
+    }
+
+    /// An endpoint has answered a query that was sent at a time, on a connection that came up at another.
+    pub(crate) fn record_proof(
+        &mut self, index: EndpointIndex, connected_at: Option<Millis>, sent_at: Millis,
+    ) {
+        let Some(expires_at) = self.lease.proof_expires_at(connected_at, sent_at, &self.discovery) else {
+            return;
+        };
+        let endpoint = &mut self.endpoints[index];
+        endpoint.proof_expires_at = endpoint.proof_expires_at.max(expires_at);
+    }
+
+    /// An update may have been lost: what endpoints proved before holds for a moment at most.
+    pub(crate) fn limit_proofs(&mut self, limit: Millis) {
+        for endpoint in self.endpoints.iter_mut() {
+            endpoint.proof_expires_at = endpoint.proof_expires_at.min(limit);
+        }
     }
 
     /// Ready endpoints are listed, but attempts may be sent to none of them.
--- a/crates/policy/tests/policy/list_lease.rs
+++ b/crates/policy/tests/policy/list_lease.rs
@@ -111,6 +111,22 @@
     assert!(!is_sent(&mut gateway), "nothing was asked since the update was lost");
 }
 
+#[rstest]
+fn updates_lost_again_and_again_extend_no_proof() {
+    let mut gateway = TestGateway::with_endpoints(TestConfig::default(), 2, succeed);
+    gateway.connected_at = Some(0.0);
+    gateway.deliver(failed(BROKEN));
+    gateway.serve_for(9000.0, 5);
+    let lost_at = gateway.now;
+    for lost in 0..3 {
+        run_until(&mut gateway, lost_at + 250.0 * f64::from(lost));
+        gateway.deliver(failed(CUT_OFF));
+        gateway.step();
+    }
+    run_until(&mut gateway, lost_at + 760.0);
+    assert!(!is_sent(&mut gateway), "what was proven before the first loss is over");
+}
+
 #[rstest]
 fn list_from_the_previous_address_is_applied_and_confirms_nothing() {
     let mut gateway = TestGateway::with_endpoints(TestConfig::default(), 2, succeed);
--- a/crates/test-support/src/fake_server.rs
+++ b/crates/test-support/src/fake_server.rs
@@ -9,10 +9,12 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time between two checks whether a connection without handshake was closed.
 const HANDSHAKE_POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// The SQLSTATEs of queries that were not executed.
+const NOT_EXECUTED: [&str; 2] = ["53300", "57P03"];
 /// Messages that a flooding server writes at once.
 const FLOOD_MESSAGES: usize = 10_000;
 /// Bytes of a row without end that are written.
@@ -82,11 +84,24 @@
     pub text: String,
 }
 
+/// When a query arrived, and what became of it.
+#[derive(Clone, Debug)]
+pub struct QueryArrival {
+    /// The id of the query.
+    pub id: String,
+    /// When its last byte had come.
+    pub at: Instant,
+    /// It was executed, or may have been.
+    pub is_executed: bool,
+}
+
 /// What a server has seen so far.
 #[derive(Default)]
 pub struct ServerHistory {
     /// The queries in order.
     pub queries: Vec<ReceivedQuery>,
+    /// When these arrived, in order.
+    pub arrivals: Vec<QueryArrival>,
     /// Connections so far.
     pub connections: usize,
     /// Numbers of the connections that have ended.
@@ -141,6 +156,11 @@
         }
     }
 
+    /// When the queries so far arrived, in order.
+    pub fn arrivals(&self) -> Vec<QueryArrival> {
+        lock(&self.seen).arrivals.clone()
+    }
+
     /// The queries so far, in order.
     pub fn queries(&self) -> Vec<ReceivedQuery> {
         lock(&self.seen).queries.clone()
@@ -170,6 +190,7 @@
         while let Some(message) = read_message(&mut self.stream) {
             let id = self.record_query(&message);
             let behavior = self.take_behavior();
+            self.record_arrival(&id, behavior);
             let response = match self.respond(behavior, &id) {
                 Response::Bytes(bytes) => bytes,
                 Response::Nothing => continue,
@@ -204,6 +225,12 @@
         id
     }
 
+    fn record_arrival(&self, id: &str, behavior: ServerBehavior) {
+        let is_executed = !matches!(behavior, ServerBehavior::Fail(code) if NOT_EXECUTED.contains(&code));
+        let arrival = QueryArrival { id: id.to_string(), at: Instant::now(), is_executed };
+        lock(&self.seen).arrivals.push(arrival);
+    }
+
     /// The behavior for one query; some are followed by another one.
     fn take_behavior(&self) -> ServerBehavior {
         let mut behavior = lock(&self.behavior);
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`postgres`]: messages of the PostgreSQL protocol, and a client.
 //! - [`fake_server`]: a server on that protocol whose behavior can be changed.
 //! - [`fake_http`]: an HTTP service whose replies can be changed and whose streams can be written to.
+//! - [`history`]: what was seen during a run, and the rules that it is judged by.
 //! - [`platform_messages`]: the JSON of service discovery and of the platform.
 //! - [`fake_platform`]: service discovery and a platform that hold a state and report its changes.
 //! - [`process`]: the program as a child process: its log, counters and resource usage.
@@ -18,6 +19,7 @@
 pub mod fake_proxy;
 pub mod fake_server;
 pub mod gateway;
+pub mod history;
 pub mod platform_messages;
 pub mod postgres;
 pub mod process;
--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -80,7 +80,7 @@
 }
 
 /// Sends a signal to a process; true where it was sent.
-pub(crate) fn send_signal(process: u32, name: &str) -> bool {
+pub fn send_signal(process: u32, name: &str) -> bool {
     let status = Command::new("kill").args([&format!("-{name}"), &process.to_string()]).status();
     status.is_ok_and(|status| status.success())
 }
--- /dev/null
+++ b/crates/test-support/tests/history.rs
@@ -0,0 +1,116 @@
+//! The checker finds each broken rule, and nothing in a history that keeps them.
+
+use latchhaven_test_support::history::{
+    ArrivalRecord, Break, History, ListingRecord, Moment, OutageRecord, ProcessEvent, ProcessRecord,
+    RequestEnd, RequestRecord,
+};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const GRACE: Duration = Duration::from_secs(1);
+
+fn at(ms: u64) -> Moment {
+    Duration::from_millis(ms)
+}
+
+fn request(sent_at: u64, end: RequestEnd, ended_at: u64) -> RequestRecord {
+    RequestRecord {
+        id: "a1".to_string(),
+        gateway: 0,
+        is_once_only: true,
+        sent_at: at(sent_at),
+        timeout: at(900),
+        end,
+        ended_at: at(ended_at),
+    }
+}
+
+fn arrival(ms: u64, is_executed: bool) -> ArrivalRecord {
+    ArrivalRecord { id: "a1".to_string(), server: 0, at: at(ms), is_executed }
+}
+
+fn process(ms: u64, event: ProcessEvent) -> ProcessRecord {
+    ProcessRecord { gateway: 0, at: at(ms), event }
+}
+
+fn history(requests: Vec<RequestRecord>, arrivals: Vec<ArrivalRecord>) -> History {
+    History { requests, arrivals, ..History::default() }
+}
+
+fn lost(end: RequestEnd) -> Vec<Break> {
+    vec![Break::Lost { id: "a1".to_string(), end }]
+}
+
+#[test]
+fn history_that_keeps_the_rules_has_no_breaks() {
+    let kept = history(vec![request(0, RequestEnd::Served, 100)], vec![arrival(50, true)]);
+    assert_eq!(kept.breaks(GRACE), []);
+}
+
+#[test]
+fn missing_late_or_wrong_answers_are_lost() {
+    for (end, ended_at) in [
+        (RequestEnd::Unanswered, 2000),
+        (RequestEnd::Closed, 100),
+        (RequestEnd::WrongValue, 100),
+        (RequestEnd::Served, 1800),
+    ] {
+        assert_eq!(history(vec![request(0, end, ended_at)], vec![]).breaks(GRACE), lost(end));
+    }
+}
+
+#[test]
+fn kill_without_notice_excuses_what_was_out_and_one_behind_a_termination_does_not() {
+    let mut killed = history(vec![request(1000, RequestEnd::Closed, 1200)], vec![]);
+    killed.processes = vec![process(0, ProcessEvent::Started), process(1200, ProcessEvent::Killed)];
+    assert_eq!(killed.breaks(GRACE), []);
+    killed.processes.insert(1, process(500, ProcessEvent::Terminated));
+    assert_eq!(killed.breaks(GRACE), lost(RequestEnd::Closed));
+    killed.requests[0].ended_at = at(1030);
+    assert_eq!(killed.breaks(GRACE), [], "the close crossed the query");
+}
+
+#[test]
+fn second_execution_and_rejection_of_an_execution_are_duplicates() {
+    let twice =
+        history(vec![request(0, RequestEnd::Served, 100)], vec![arrival(20, true), arrival(50, true)]);
+    assert_eq!(twice.breaks(GRACE), [Break::Duplicate { id: "a1".to_string() }]);
+    let rejected = history(vec![request(0, RequestEnd::Rejected, 100)], vec![arrival(20, true)]);
+    assert_eq!(rejected.breaks(GRACE), [Break::Duplicate { id: "a1".to_string() }]);
+    let retried =
+        history(vec![request(0, RequestEnd::Served, 100)], vec![arrival(20, false), arrival(50, true)]);
+    assert_eq!(retried.breaks(GRACE), []);
+}
+
+fn drained(written_at: BTreeMap<usize, Moment>, arrives_at: u64) -> History {
+    let mut drained = history(
+        vec![request(arrives_at, RequestEnd::Served, arrives_at + 10)],
+        vec![arrival(arrives_at, true)],
+    );
+    drained.listings = vec![ListingRecord { server: 0, at: at(1000), is_ready: false, written_at }];
+    drained
+}
+
+#[test]
+fn query_at_a_drained_server_breaks_the_rule_once_it_was_told_and_the_grace_is_over() {
+    let written = || BTreeMap::from([(0, at(1100))]);
+    assert_eq!(drained(written(), 2300).breaks(GRACE), []);
+    let found = Break::Drain { id: "a1".to_string(), gateway: 0, server: 0, at: at(2500), after: at(1400) };
+    assert_eq!(drained(written(), 2500).breaks(GRACE), [found]);
+    assert_eq!(drained(BTreeMap::new(), 8200).breaks(GRACE), [], "told 6 s later");
+    assert_eq!(drained(BTreeMap::new(), 8400).breaks(GRACE).len(), 1);
+}
+
+#[test]
+fn outage_delays_what_counts_as_told_and_a_start_or_a_ready_listing_begins_anew() {
+    let mut outage = drained(BTreeMap::new(), 12_000);
+    outage.outages = vec![OutageRecord { gateway: 0, from: at(500), until: at(5000) }];
+    assert_eq!(outage.breaks(GRACE), []);
+    let mut restarted = drained(BTreeMap::new(), 9000);
+    restarted.processes = vec![process(8000, ProcessEvent::Started)];
+    assert_eq!(restarted.breaks(GRACE), []);
+    let mut ready = drained(BTreeMap::new(), 9000);
+    let written_at = BTreeMap::new();
+    ready.listings.push(ListingRecord { server: 0, at: at(3000), is_ready: true, written_at });
+    assert_eq!(ready.breaks(GRACE), []);
+}
