Proofs wait for draining endpoints to reject; starts listed by a stepped wall clock count as of now

Attempts are now proofs from half of the grace after the loss on.

Cause of the second, by reading: warm-up is counted from the Unix time that the list tells. Where wall clocks are an hour apart, an endpoint that has just started looked warm (its budget could be overrun), or cold for an hour. A start to come, or one of over a minute ago that comes as a change, counts as of now; a lower start than before is a restart as well. Tests with steps of an hour either way.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -83,7 +83,9 @@
         match event {
             Event::EndpointUpdate { kind, entries, .. } => self.on_endpoint_update(kind, &entries, now),
             Event::EndpointUpdateFailed(failure) => self.on_update_failed(&failure, now),
-            Event::EndpointUpdateFromPreviousAddress { kind, entries } => self.apply_entries(kind, &entries),
+            Event::EndpointUpdateFromPreviousAddress { kind, entries } => {
+                self.apply_entries(kind, &entries, now)
+            }
             Event::DiscoveryMoved => self.registry.lease.move_discovery(&self.registry.discovery, now),
             Event::RequestReceived(request) => self.on_request(request, now),
             Event::ResponseStarted { id, .. } => {
@@ -133,12 +135,13 @@
                 registry.next_poll_at = None;
             }
         }
-        self.apply_entries(kind, entries);
+        self.apply_entries(kind, entries, now);
     }
 
-    fn apply_entries(&mut self, kind: UpdateKind, entries: &[EndpointEntry]) {
+    fn apply_entries(&mut self, kind: UpdateKind, entries: &[EndpointEntry], now: Millis) {
         let is_snapshot = matches!(kind, UpdateKind::Snapshot | UpdateKind::CachedSnapshot);
-        self.registry.apply(entries, is_snapshot, outlier::INITIAL_CONCURRENCY_LIMIT, &mut self.rng);
+        let concurrency_limit = outlier::INITIAL_CONCURRENCY_LIMIT;
+        self.registry.apply(entries, is_snapshot, concurrency_limit, &mut self.rng, now);
     }
 
     /// The watch may stand or not: the list is asked for again.
--- a/crates/policy/src/list_lease.rs
+++ b/crates/policy/src/list_lease.rs
@@ -19,8 +19,9 @@
     confirmed_at: Millis,
     /// Until then attempts may be sent to every endpoint that is listed as ready.
     expires_at: Millis,
-    /// When an update may have been lost for the last time: what was proven before counts no longer.
-    lost_update_at: Millis,
+    /// Queries sent before then prove nothing: an update may have been lost, and an endpoint that it lists as draining may
+    /// still answer for a moment.
+    no_proof_before: Millis,
 }
 
 impl Default for ListLease {
@@ -35,7 +36,7 @@
         ListLease {
             confirmed_at: f64::INFINITY,
             expires_at: f64::INFINITY,
-            lost_update_at: f64::NEG_INFINITY,
+            no_proof_before: f64::NEG_INFINITY,
         }
     }
 
@@ -44,7 +45,7 @@
         ListLease {
             confirmed_at: f64::NEG_INFINITY,
             expires_at: now + discovery.drain_grace - LEASE_MARGIN,
-            lost_update_at: now,
+            no_proof_before: now,
         }
     }
 
@@ -64,7 +65,7 @@
         self.confirmed_at = self.confirmed_at.min(confirmed_at);
         self.shorten(confirmed_at + delay, discovery);
         if failure.may_have_lost_update {
-            self.lost_update_at = now;
+            self.no_proof_before = now + PROOF_GRACE_SHARE * discovery.drain_grace;
             self.shorten(now, discovery);
         }
     }
@@ -94,7 +95,7 @@
         let is_same_process = connected_at.is_some_and(|connected_at| connected_at <= self.confirmed_at);
         let grace = PROOF_GRACE_SHARE * discovery.drain_grace;
         let expires_at = sent_at + discovery.update_delay_after_loss + grace;
-        (is_same_process && sent_at > self.lost_update_at).then_some(expires_at)
+        (is_same_process && sent_at >= self.no_proof_before).then_some(expires_at)
     }
 
     /// Until when an earlier proof holds once an update is lost.
--- a/crates/policy/src/state/endpoint.rs
+++ b/crates/policy/src/state/endpoint.rs
@@ -71,7 +71,9 @@
     pub version: Version,
     /// Its capacity beside others'.
     pub weight: f64,
-    /// Clock time of its last start; 0 for long ago.
+    /// Its last start as listed; 0 for long ago.
+    pub listed_start: Millis,
+    /// Its last start by this gateway's clock; 0 for long ago.
     pub started_at: Millis,
     /// It takes new requests.
     pub is_ready: bool,
@@ -111,7 +113,6 @@
     /// Takes over what the list says of it.
     pub(super) fn apply(&mut self, entry: &EndpointEntry) {
         self.version = entry.version;
-        self.started_at = self.started_at.max(entry.started_at);
         self.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
         self.zone.clone_from(&entry.zone);
         self.cell = entry.cell;
--- a/crates/policy/src/state/registry.rs
+++ b/crates/policy/src/state/registry.rs
@@ -6,6 +6,7 @@
 use crate::endpoint::EndpointEntry;
 use crate::list_lease::ListLease;
 use crate::rollout::Version;
+use crate::slow_start::start_by_own_clock;
 use crate::snapshot::EndpointSnapshot;
 use crate::state::window::SlidingWindow;
 use crate::state::{Endpoint, EndpointIndex, Metric, MetricMoments};
@@ -95,7 +96,8 @@
         if let Some(free) = self.0.iter().position(is_free) {
             let endpoint = &mut self.0[free];
             endpoint.id.clone_from(&entry.endpoint);
-            endpoint.started_at = entry.started_at;
+            endpoint.listed_start = 0.0;
+            endpoint.started_at = 0.0;
             // Whatever comes begins an incarnation of its own.
             endpoint.version = Version::INVALID;
             return EndpointIndex(free);
@@ -106,7 +108,6 @@
             cell: entry.cell,
             version: entry.version,
             weight: 1.0,
-            started_at: entry.started_at,
             ..Endpoint::default()
         });
         EndpointIndex(self.0.len() - 1)
@@ -261,6 +262,7 @@
     /// Takes over entries of the list; `concurrency_limit` is what a new incarnation begins with.
     pub fn apply(
         &mut self, entries: &[EndpointEntry], is_snapshot: bool, concurrency_limit: f64, rng: &mut Pcg64Mcg,
+        now: Millis,
     ) {
         if is_snapshot {
             self.endpoints.iter_mut().for_each(|endpoint| endpoint.is_ready = false);
@@ -269,10 +271,16 @@
             let index = self.index_for(entry);
             let endpoint = &mut self.endpoints[index];
             // An id may return with another version or after a restart: nothing learnt of it counts.
-            let is_restarted = entry.started_at > endpoint.started_at + 1.0;
+            // The wall clock that lists starts may have been stepped back meanwhile.
+            let is_restarted =
+                entry.started_at > 0.0 && (entry.started_at - endpoint.listed_start).abs() > 1.0;
             if endpoint.incarnation == 0 || endpoint.version != entry.version || is_restarted {
                 endpoint.begin_incarnation(concurrency_limit, rng);
             }
+            if is_restarted {
+                endpoint.listed_start = entry.started_at;
+                endpoint.started_at = start_by_own_clock(entry.started_at, is_snapshot, now);
+            }
             endpoint.apply(entry);
         }
         if is_snapshot {
--- a/crates/policy/tests/policy/list_lease.rs
+++ b/crates/policy/tests/policy/list_lease.rs
@@ -127,6 +127,23 @@
     assert!(!is_sent(&mut gateway), "what was proven before the first loss is over");
 }
 
+#[rstest]
+#[case::at_once(0.0, false)]
+#[case::after_half_of_the_grace(520.0, true)]
+fn answer_behind_a_lost_update_is_a_proof_only_once_draining_endpoints_reject(
+    #[case] after: Millis, #[case] is_proof: bool,
+) {
+    let mut gateway = TestGateway::with_endpoints(TestConfig::default(), 2, succeed);
+    gateway.connected_at = Some(0.0);
+    let lost_at = gateway.now;
+    gateway.deliver(failed(CUT_OFF));
+    gateway.step();
+    run_until(&mut gateway, lost_at + after);
+    assert!(is_sent(&mut gateway));
+    run_until(&mut gateway, lost_at + 1000.0);
+    assert_eq!(is_sent(&mut gateway), is_proof);
+}
+
 #[rstest]
 fn list_from_the_previous_address_is_applied_and_confirms_nothing() {
     let mut gateway = TestGateway::with_endpoints(TestConfig::default(), 2, succeed);
--- a/crates/policy/tests/policy/robustness.rs
+++ b/crates/policy/tests/policy/robustness.rs
@@ -94,19 +94,19 @@
     let mut exposure = ExposureLimiter::new(ExposureConfig { window: 500.0, ..ExposureConfig::default() }, 1);
     let mut entry =
         TestGateway::new(TestConfig::default()).update_endpoint("a", Version(1), EndpointStatus::Ready, 0.0);
-    registry.apply(std::slice::from_ref(&entry), false, 2.0, &mut rng);
+    registry.apply(std::slice::from_ref(&entry), false, 2.0, &mut rng, 0.0);
     let stays = registry.index_of("a").unwrap();
     for n in 0..5000 {
         entry.endpoint = format!("s{n}");
         entry.version = Version(n);
         entry.status = EndpointStatus::Ready;
-        registry.apply(std::slice::from_ref(&entry), false, 2.0, &mut rng);
+        registry.apply(std::slice::from_ref(&entry), false, 2.0, &mut rng, 0.0);
         let index = registry.index_of(&entry.endpoint).unwrap();
         assert_ne!(index, stays);
         assert_eq!(registry.endpoints[index].version, Version(n));
         assert_eq!(registry.endpoints[stays].version, Version(1));
         entry.status = EndpointStatus::Removed;
-        registry.apply(std::slice::from_ref(&entry), false, 2.0, &mut rng);
+        registry.apply(std::slice::from_ref(&entry), false, 2.0, &mut rng, 0.0);
         for service in requests.service_levels(&Some(format!("t{n}"))) {
             service.record(f64::from(n), 1.0, 1.0);
         }
@@ -119,6 +119,6 @@
     registry.endpoints[carries].in_flight = 1;
     entry.endpoint = "another".to_string();
     entry.status = EndpointStatus::Ready;
-    registry.apply(std::slice::from_ref(&entry), false, 2.0, &mut rng);
+    registry.apply(std::slice::from_ref(&entry), false, 2.0, &mut rng, 0.0);
     assert_ne!(registry.index_of("another"), Some(carries));
 }
--- a/crates/policy/tests/policy/slow_start.rs
+++ b/crates/policy/tests/policy/slow_start.rs
@@ -1,7 +1,7 @@
 //! What warming endpoints get.
 
 use crate::support::{TestConfig, TestGateway, succeed};
-use latchhaven_policy::Version;
+use latchhaven_policy::{EndpointStatus, Millis, Version};
 use rstest::rstest;
 
 #[rstest]
@@ -39,3 +39,42 @@
     // 250 a second over 20 endpoints: a warm one gets 12.5, its budget is twice 0.4 to 0.55 of that and more.
     assert!((2..=12).contains(&sent), "{sent}");
 }
+
+/// An hour in ms, by which a wall clock may be stepped.
+const HOUR: Millis = 3_600_000.0;
+
+#[rstest]
+#[case::ahead(HOUR)]
+#[case::behind(-HOUR)]
+fn endpoint_warms_up_once_where_the_wall_clock_that_lists_its_start_was_stepped(#[case] step: Millis) {
+    let mut gateway = TestGateway::with_endpoints(TestConfig::default(), 4, succeed);
+    gateway.serve_for(3000.0, 1);
+    let started = gateway.now;
+    gateway.update_endpoint("a7", Version(1), EndpointStatus::Ready, 10.0 * HOUR + started + step);
+    // A gateway whose own clock began ten hours later than the others'.
+    let sent_since = |gateway: &TestGateway, at: Millis| {
+        gateway.sent.iter().filter(|sent| sent.endpoint == "a7" && sent.at >= at).count()
+    };
+    gateway.serve_for(1000.0, 1);
+    assert!(sent_since(&gateway, started) <= 21, "it is cold");
+    gateway.serve_for(4000.0, 1);
+    let warm_at = gateway.now;
+    gateway.serve_for(2000.0, 1);
+    assert!(sent_since(&gateway, warm_at) >= 25, "it is warm after its time");
+}
+
+#[rstest]
+#[case::long_ago(-HOUR)]
+#[case::to_come(HOUR)]
+fn restart_listed_by_a_stepped_clock_is_a_restart_of_now(#[case] step: Millis) {
+    let mut gateway = TestGateway::with_endpoints(TestConfig::default(), 4, succeed);
+    gateway.serve_for(3000.0, 1);
+    let listed_at = gateway.now;
+    gateway.update_endpoint("a0", Version(1), EndpointStatus::Ready, 40.0 * HOUR);
+    gateway.serve_for(10_000.0, 1);
+    let restarted_at = gateway.now;
+    gateway.update_endpoint("a0", Version(1), EndpointStatus::Ready, 40.0 * HOUR + step);
+    gateway.serve_for(1000.0, 1);
+    let sent = gateway.sent.iter().filter(|sent| sent.endpoint == "a0" && sent.at >= restarted_at).count();
+    assert!(sent <= 25, "cold again: {sent} since {restarted_at}, listed first at {listed_at}");
+}
