--- a/crates/cli/tests/gateway/stale_list.rs
+++ b/crates/cli/tests/gateway/stale_list.rs
@@ -31,15 +31,20 @@
     outcome(&client.query(&select(id, "look", 900)))
 }
 
-#[test]
-fn endpoint_restarted_since_the_last_list_gets_nothing_once_updates_count_as_told() {
-    let server = FakeServer::start(ServerBehavior::Succeed);
-    let gateway = Gateway::start_watching(&[&server], |_| ());
+/// A gateway that has served a request of its client, and from now on gets 503 from discovery.
+fn lose_discovery(server: &FakeServer) -> (Gateway, Client, Instant) {
+    let gateway = Gateway::start_watching(&[server], |_| ());
     let mut client = gateway.client();
     assert_eq!(ask(&mut client, "a0"), Ok("a0".to_string()));
     gateway.discovery.set_reply(|_| overloaded());
     gateway.discovery.close_streams();
-    let lost_at = Instant::now();
+    (gateway, client, Instant::now())
+}
+
+#[test]
+fn endpoint_restarted_since_the_last_list_gets_nothing_once_updates_count_as_told() {
+    let server = FakeServer::start(ServerBehavior::Succeed);
+    let (gateway, _client, lost_at) = lose_discovery(&server);
     // Another process comes up at the address, which discovery lists as gone: nobody can tell this gateway.
     server.close_connections();
     sleep_until(lost_at + MAX_UPDATE_DELAY + DRAIN_GRACE);
@@ -64,12 +69,7 @@
 #[test]
 fn endpoint_that_keeps_answering_is_used_until_its_process_is_replaced() {
     let server = FakeServer::start(ServerBehavior::Succeed);
-    let gateway = Gateway::start_watching(&[&server], |_| ());
-    let mut client = gateway.client();
-    assert_eq!(ask(&mut client, "a0"), Ok("a0".to_string()));
-    gateway.discovery.set_reply(|_| overloaded());
-    gateway.discovery.close_streams();
-    let lost_at = Instant::now();
+    let (_gateway, mut client, lost_at) = lose_discovery(&server);
     while lost_at.elapsed() < MAX_UPDATE_DELAY + DRAIN_GRACE + DRAIN_GRACE {
         assert_eq!(ask(&mut client, "a1"), Ok("a1".to_string()), "it answers as before the loss");
         thread::sleep(REQUEST_INTERVAL);
--- a/crates/experiments/src/soak.rs
+++ b/crates/experiments/src/soak.rs
@@ -5,7 +5,7 @@
 //! - `schedule`: pure: which faults, and when.
 //! - `directory`: the endpoint list, and the discovery service of each gateway.
 //! - `fleet`: the gateways' processes.
-//! - `clients`: clients, and crowds of them.
+//! - `clients`: clients, and floods of connections of them.
 //! - `runner`: plays a schedule.
 
 mod clients;
--- a/crates/experiments/src/soak/clients.rs
+++ b/crates/experiments/src/soak/clients.rs
@@ -19,10 +19,10 @@
 const EXTRA_WAIT: Duration = Duration::from_millis(1500);
 /// Time before a refused connection is tried again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(50);
-/// Connections of a crowd.
-const CROWD: usize = 120;
-/// How long the silent ones of a crowd stay.
-const CROWD_STAY: Duration = Duration::from_secs(3);
+/// Connections of a flood of connections.
+const FLOOD_CONNECTIONS: usize = 120;
+/// How long the silent ones of a flood of connections stay.
+const FLOOD_DURATION: Duration = Duration::from_secs(3);
 /// The SQLSTATEs of a request that was not executed.
 const REJECTIONS: [&str; 2] = ["53300", "57P03"];
 
@@ -50,16 +50,16 @@
 }
 
 /// Opens many connections at once; half of them ask something, the others stay and say nothing.
-pub(super) fn start_crowd(setup: &ClientSetup, number: usize) -> JoinHandle<()> {
+pub(super) fn start_connection_flood(setup: &ClientSetup, number: usize) -> JoinHandle<()> {
     let setup = setup.clone();
     thread::spawn(move || {
         let connections: Vec<TcpStream> =
-            (0..CROWD).filter_map(|_| TcpStream::connect(setup.address).ok()).collect();
+            (0..FLOOD_CONNECTIONS).filter_map(|_| TcpStream::connect(setup.address).ok()).collect();
         for (index, mut connection) in connections.iter().enumerate().filter(|(index, _)| index % 2 == 0) {
             let probe = [startup(), query(""), query(&select(&format!("{number:x}c{index:x}"), "look", 900))];
             let _ = connection.write_all(&probe.concat());
         }
-        thread::sleep(CROWD_STAY);
+        thread::sleep(FLOOD_DURATION);
     })
 }
 
--- a/crates/experiments/src/soak/directory.rs
+++ b/crates/experiments/src/soak/directory.rs
@@ -2,7 +2,7 @@
 
 use super::schedule::DiscoveryFault;
 use latchhaven_test_support::fake_http::{FakeHttpService, HttpReply, STREAM_HEAD, chunk, response};
-use latchhaven_test_support::history::{ListingRecord, Moment, OutageRecord};
+use latchhaven_test_support::history::{Moment, OutageRecord, StatusChangeRecord};
 use latchhaven_test_support::platform_messages::{endpoint_list, host};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -24,7 +24,7 @@
     /// What each server is listed as.
     health: Vec<&'static str>,
     version: u64,
-    listings: Vec<ListingRecord>,
+    status_changes: Vec<StatusChangeRecord>,
     /// By gateway: how discovery fails for it, and since when.
     faults: BTreeMap<usize, (DiscoveryFault, Moment)>,
     outages: Vec<OutageRecord>,
@@ -49,8 +49,8 @@
     /// Everything listed so far is written to a gateway now.
     fn write_to(&mut self, gateway: usize) -> Value {
         let now = self.now();
-        for listing in &mut self.listings {
-            listing.written_at.entry(gateway).or_insert(now);
+        for change in &mut self.status_changes {
+            change.written_at.entry(gateway).or_insert(now);
         }
         let list = self.list();
         self.written[gateway] = list.clone();
@@ -84,7 +84,7 @@
             addresses: servers.to_vec(),
             health: vec!["up"; servers.len()],
             version: FIRST_VERSION,
-            listings: Vec::new(),
+            status_changes: Vec::new(),
             faults: BTreeMap::new(),
             outages: Vec::new(),
             written: Vec::new(),
@@ -117,7 +117,12 @@
             state.health[server] = health;
             let at = state.now();
             let written_at = BTreeMap::new();
-            state.listings.push(ListingRecord { server, at, is_ready: health == "up", written_at });
+            state.status_changes.push(StatusChangeRecord {
+                server,
+                at,
+                is_ready: health == "up",
+                written_at,
+            });
         }
         for (gateway, services) in self.services.iter().enumerate() {
             if recover(&self.state).faults.contains_key(&gateway) {
@@ -178,9 +183,9 @@
     }
 
     /// What was listed, and when it could not be told.
-    pub(super) fn records(&self) -> (Vec<ListingRecord>, Vec<OutageRecord>) {
+    pub(super) fn records(&self) -> (Vec<StatusChangeRecord>, Vec<OutageRecord>) {
         let state = recover(&self.state);
-        (state.listings.clone(), state.outages.clone())
+        (state.status_changes.clone(), state.outages.clone())
     }
 }
 
--- a/crates/experiments/src/soak/runner.rs
+++ b/crates/experiments/src/soak/runner.rs
@@ -1,7 +1,7 @@
 //! Plays a schedule: carries out each fault as its time comes, and what follows from it later.
 
 use super::Sizes;
-use super::clients::{ClientSetup, start_client, start_crowd};
+use super::clients::{ClientSetup, start_client, start_connection_flood};
 use super::directory::Directory;
 use super::fleet::{Fleet, SHUTDOWN_TIME};
 use super::schedule::{Fault, Schedule};
@@ -25,8 +25,8 @@
 const BOOT_TIME: Duration = Duration::from_millis(1500);
 /// A query to a server that drains was not executed.
 const DRAINING: ServerBehavior = ServerBehavior::Fail("53300");
-/// Client numbers of crowds begin here.
-const FIRST_CROWD: usize = 1 << 16;
+/// Client numbers of floods of connections begin here.
+const FIRST_FLOOD: usize = 1 << 16;
 
 /// What follows from a fault later.
 #[derive(Clone, Copy, Debug)]
@@ -63,7 +63,7 @@
     is_over: Arc<AtomicBool>,
     records: mpsc::Receiver<RequestRecord>,
     steps: Vec<(Duration, Step)>,
-    crowds: usize,
+    floods: usize,
 }
 
 impl Run {
@@ -103,7 +103,7 @@
             is_over,
             records,
             steps: Vec::new(),
-            crowds: 0,
+            floods: 0,
         }
     }
 
@@ -138,13 +138,13 @@
             self.fleet.logs().iter().for_each(|line| eprintln!("{line}"));
         }
         self.fleet.stop();
-        let (listings, outages) = self.directory.records();
+        let (status_changes, outages) = self.directory.records();
         let requests: Vec<RequestRecord> = self.records.try_iter().collect();
         let count = |end| requests.iter().filter(|request| request.end == end).count();
         let (served, rejected) = (count(RequestEnd::Served), count(RequestEnd::Rejected));
         let arrivals = self.arrivals();
         let processes = std::mem::take(&mut self.fleet.processes);
-        let history = History { requests, arrivals, listings, processes, outages };
+        let history = History { requests, arrivals, status_changes, processes, outages };
         Outcome { history, served, rejected, crashes: std::mem::take(&mut self.fleet.crashes) }
     }
 
@@ -192,10 +192,10 @@
                 self.later(duration, Step::Answer { server });
             }
             Fault::Reset { server } => self.servers[server].close_connections(),
-            Fault::Crowd { gateway } => {
-                self.crowds += 1;
-                let crowd = start_crowd(&self.setups[gateway], FIRST_CROWD + self.crowds);
-                self.threads.push(crowd);
+            Fault::ConnectionFlood { gateway } => {
+                self.floods += 1;
+                let flood = start_connection_flood(&self.setups[gateway], FIRST_FLOOD + self.floods);
+                self.threads.push(flood);
             }
             // What it concerns is under another fault.
             _ => {}
--- a/crates/experiments/src/soak/schedule.rs
+++ b/crates/experiments/src/soak/schedule.rs
@@ -13,8 +13,8 @@
 const FAULT_INTERVAL: std::ops::Range<u64> = 150..1500;
 /// ms of an outage of discovery: shorter and longer than the time after which updates count as told.
 const OUTAGE: std::ops::Range<u64> = 300..9000;
-/// Chance that a run has crowds of clients.
-const CROWD_SHARE: f64 = 0.4;
+/// Chance that a run has floods of connections of clients.
+const FLOOD_SHARE: f64 = 0.4;
 
 /// How discovery fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,7 +47,7 @@
     /// A server closes its connections.
     Reset { server: usize },
     /// Many clients come at once; half of them say nothing.
-    Crowd { gateway: usize },
+    ConnectionFlood { gateway: usize },
 }
 
 impl Fault {
@@ -61,7 +61,7 @@
             Fault::Replace { .. } => "replace",
             Fault::Hang { .. } => "hang",
             Fault::Reset { .. } => "reset",
-            Fault::Crowd { .. } => "crowd",
+            Fault::ConnectionFlood { .. } => "connection_flood",
         }
     }
 }
@@ -73,11 +73,11 @@
     /// Draws the faults of a seed.
     pub(super) fn draw(seed: u64, gateways: usize, servers: usize, seconds: u64) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let has_crowds = rng.random_bool(CROWD_SHARE);
+        let has_floods = rng.random_bool(FLOOD_SHARE);
         let mut faults = Vec::new();
         let mut at = QUIET_START;
         while at + QUIET_END < seconds * 1000 {
-            let fault = draw_fault(&mut rng, gateways, servers, has_crowds);
+            let fault = draw_fault(&mut rng, gateways, servers, has_floods);
             faults.push((Duration::from_millis(at), fault));
             at += rng.random_range(FAULT_INTERVAL);
         }
@@ -94,10 +94,10 @@
     }
 }
 
-fn draw_fault(rng: &mut Pcg64Mcg, gateways: usize, servers: usize, has_crowds: bool) -> Fault {
+fn draw_fault(rng: &mut Pcg64Mcg, gateways: usize, servers: usize, has_floods: bool) -> Fault {
     let gateway = rng.random_range(0..gateways);
     let server = rng.random_range(0..servers);
-    match rng.random_range(0..if has_crowds { 11 } else { 10 }) {
+    match rng.random_range(0..if has_floods { 11 } else { 10 }) {
         0 => Fault::Kill { gateway },
         1 | 2 => Fault::Restart { gateway },
         3 => Fault::Reload { gateway, times: rng.random_range(1..=3) },
@@ -106,7 +106,7 @@
         7 | 8 => Fault::Replace { server },
         9 if rng.random_bool(0.5) => Fault::Reset { server },
         9 => Fault::Hang { server, duration: Duration::from_millis(rng.random_range(100..2000)) },
-        _ => Fault::Crowd { gateway },
+        _ => Fault::ConnectionFlood { gateway },
     }
 }
 
--- a/crates/experiments/tests/soak.rs
+++ b/crates/experiments/tests/soak.rs
@@ -8,7 +8,7 @@
 
 #[rstest]
 #[case::cut_off_lists(3)]
-#[case::crowds_and_silence(6)]
+#[case::floods_and_silence(6)]
 fn rules_are_kept_under_faults(#[case] seed: u64) {
     let mut soak = Command::new(env!("CARGO_BIN_EXE_latchhaven-experiments"));
     soak.args(["soak", "--seed", &seed.to_string(), "--seconds", SECONDS]);
--- a/crates/gateway/src/gateway/list_confirmation.rs
+++ b/crates/gateway/src/gateway/list_confirmation.rs
@@ -5,7 +5,7 @@
 /// A time without a confirmed list.
 struct Unconfirmed {
     since: Instant,
-    is_expiry_logged: bool,
+    is_expired_logged: bool,
 }
 
 /// Whether the list is confirmed; a new process has none that is.
@@ -13,7 +13,7 @@
 
 impl Default for ListConfirmation {
     fn default() -> Self {
-        ListConfirmation(Some(Unconfirmed { since: Instant::now(), is_expiry_logged: false }))
+        ListConfirmation(Some(Unconfirmed { since: Instant::now(), is_expired_logged: false }))
     }
 }
 
@@ -28,13 +28,13 @@
 
     /// The watch is lost.
     pub(super) fn lose(&mut self) {
-        self.0.get_or_insert_with(|| Unconfirmed { since: Instant::now(), is_expiry_logged: false });
+        self.0.get_or_insert_with(|| Unconfirmed { since: Instant::now(), is_expired_logged: false });
     }
 
     /// A request was rejected because the list was not confirmed for too long.
-    pub(super) fn log_expiry(&mut self) {
+    pub(super) fn log_expired(&mut self) {
         if let Some(unconfirmed) = &mut self.0
-            && !std::mem::replace(&mut unconfirmed.is_expiry_logged, true)
+            && !std::mem::replace(&mut unconfirmed.is_expired_logged, true)
         {
             let unconfirmed_ms = unconfirmed.since.elapsed().as_millis();
             tracing::warn!(unconfirmed_ms, "discovery: list expired, requests are rejected");
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -49,7 +49,7 @@
     pub(super) fn reject(&mut self, id: RequestId, retry_after: Option<Millis>, reason: UnservedReason) {
         record_unserved(id, reason);
         if reason == UnservedReason::ListExpired {
-            self.list_confirmation.log_expiry();
+            self.list_confirmation.log_expired();
         }
         self.answer(id, Answer::Rejected { retry_after }, &COUNTERS.requests_rejected_total);
     }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -59,9 +59,8 @@
     let reload = signals::reload_config(signals.reload, events.clone(), platform_sender);
     tokio::task::spawn_local(reload);
 
-    let descriptors = config.max_sockets - RESERVED_DESCRIPTORS;
-    let client_descriptors = descriptors * CLIENT_EIGHTHS / 8;
-    let pool = UpstreamPool::new(descriptors - client_descriptors, connections.clone(), events.clone());
+    let (client_descriptors, server_descriptors) = share_descriptors(config.max_sockets);
+    let pool = UpstreamPool::new(server_descriptors, connections.clone(), events.clone());
     let (readiness_sender, readiness) = readiness();
     let clients = Clients::new(ClientsConfig {
         max_sessions: client_descriptors,
@@ -97,6 +96,13 @@
     Ok(())
 }
 
+/// The descriptors for clients and for endpoints.
+fn share_descriptors(max_sockets: usize) -> (usize, usize) {
+    let descriptors = max_sockets - RESERVED_DESCRIPTORS;
+    let client_descriptors = descriptors * CLIENT_EIGHTHS / 8;
+    (client_descriptors, descriptors - client_descriptors)
+}
+
 /// Waits for the end of the process, and for the last connections that the load balancer hands out after it.
 async fn accept_until_stopped(mut stop: StopSignals, clients: &Clients) {
     stop.received().await;
--- a/crates/policy/src/list_lease.rs
+++ b/crates/policy/src/list_lease.rs
@@ -77,8 +77,8 @@
     }
 
     /// What is missed counts as told at a time.
-    fn shorten(&mut self, told_at: Millis, discovery: &DiscoveryConfig) {
-        self.expires_at = self.expires_at.min(told_at + discovery.drain_grace - LEASE_MARGIN);
+    fn shorten(&mut self, notified_at: Millis, discovery: &DiscoveryConfig) {
+        self.expires_at = self.expires_at.min(notified_at + discovery.drain_grace - LEASE_MARGIN);
     }
 
     /// Until when attempts may be sent to every endpoint that is listed as ready.
--- a/crates/policy/src/slow_start.rs
+++ b/crates/policy/src/slow_start.rs
@@ -14,13 +14,13 @@
 const MIN_SUBSET: f64 = 8.0;
 
 /// ms after its start in which an endpoint is listed, as far as the start that is listed with a change is believed.
-const MAX_LISTING_DELAY: Millis = 60_000.0;
+const MAX_DISCOVERY_DELAY: Millis = 60_000.0;
 
 /// When an endpoint started that was not listed before, or not with this start, by this gateway's clock. The wall clocks
 /// of gateways and of the machines that list starts may be an hour apart: a start that is still to come, and one of long ago
 /// that only now comes as a change, are taken to be of this moment.
 pub(crate) fn start_by_own_clock(listed_start: Millis, is_snapshot: bool, now: Millis) -> Millis {
-    let is_recent = now - listed_start <= MAX_LISTING_DELAY;
+    let is_recent = now - listed_start <= MAX_DISCOVERY_DELAY;
     let is_believed = listed_start <= now && (is_recent || is_snapshot);
     if is_believed { listed_start } else { now }
 }
--- a/crates/test-support/src/history.rs
+++ b/crates/test-support/src/history.rs
@@ -66,7 +66,7 @@
 
 /// A change of the endpoint list.
 #[derive(Clone, Debug)]
-pub struct ListingRecord {
+pub struct StatusChangeRecord {
     /// The server.
     pub server: usize,
     /// When it was listed.
@@ -148,7 +148,7 @@
     /// Queries at servers.
     pub arrivals: Vec<ArrivalRecord>,
     /// Changes of the list, in order.
-    pub listings: Vec<ListingRecord>,
+    pub status_changes: Vec<StatusChangeRecord>,
     /// Starts and ends of processes, in order.
     pub processes: Vec<ProcessRecord>,
     /// Outages of discovery.
@@ -166,7 +166,7 @@
             self.requests.iter().map(|request| (request.id.as_str(), request.gateway)).collect();
         for arrival in &self.arrivals {
             if let Some(gateway) = gateways.get(arrival.id.as_str())
-                && let Some(after) = self.time_since_told(*gateway, arrival)
+                && let Some(after) = self.time_since_notified(*gateway, arrival)
                 && after > drain_grace + RECORDING_SLACK
             {
                 breaks.push(Break::Drain {
@@ -236,27 +236,27 @@
     }
 
     /// Time since the gateway was told that a server drains or is gone; none where the server is ready or it was not.
-    fn time_since_told(&self, gateway: usize, arrival: &ArrivalRecord) -> Option<Duration> {
+    fn time_since_notified(&self, gateway: usize, arrival: &ArrivalRecord) -> Option<Duration> {
         let listed = self
-            .listings
+            .status_changes
             .iter()
-            .filter(|listing| listing.server == arrival.server && listing.at <= arrival.at + RECORDING_SLACK);
+            .filter(|change| change.server == arrival.server && change.at <= arrival.at + RECORDING_SLACK);
         // Since it was last listed as ready, it counts from its first listing as something else.
-        let listed: Vec<&ListingRecord> = listed.collect();
-        let since_ready = listed.iter().rposition(|listing| listing.is_ready).map_or(0, |index| index + 1);
+        let listed: Vec<&StatusChangeRecord> = listed.collect();
+        let since_ready = listed.iter().rposition(|change| change.is_ready).map_or(0, |index| index + 1);
         let first = listed.get(since_ready)?;
-        let told_at = self.told_at(gateway, first);
+        let notified_at = self.notified_at(gateway, first);
         let started_at = self.started_at(gateway, arrival.at);
-        arrival.at.checked_sub(told_at.max(started_at))
+        arrival.at.checked_sub(notified_at.max(started_at))
     }
 
-    fn told_at(&self, gateway: usize, listing: &ListingRecord) -> Moment {
+    fn notified_at(&self, gateway: usize, change: &StatusChangeRecord) -> Moment {
         let covering = self.outages.iter().filter(|outage| {
-            outage.gateway == gateway && outage.from <= listing.at && listing.at < outage.until
+            outage.gateway == gateway && outage.from <= change.at && change.at < outage.until
         });
-        let reachable_at = covering.map(|outage| outage.until).max().unwrap_or(listing.at);
-        let told_at = reachable_at + MAX_UPDATE_DELAY;
-        listing.written_at.get(&gateway).map_or(told_at, |written_at| told_at.min(*written_at))
+        let reachable_at = covering.map(|outage| outage.until).max().unwrap_or(change.at);
+        let notified_at = reachable_at + MAX_UPDATE_DELAY;
+        change.written_at.get(&gateway).map_or(notified_at, |written_at| notified_at.min(*written_at))
     }
 
     /// When the process that ran at a time was started.
--- a/crates/test-support/tests/history.rs
+++ b/crates/test-support/tests/history.rs
@@ -1,8 +1,8 @@
 //! The checker finds each broken rule, and nothing in a history that keeps them.
 
 use latchhaven_test_support::history::{
-    ArrivalRecord, Break, History, ListingRecord, Moment, OutageRecord, ProcessEvent, ProcessRecord,
-    RequestEnd, RequestRecord,
+    ArrivalRecord, Break, History, Moment, OutageRecord, ProcessEvent, ProcessRecord, RequestEnd,
+    RequestRecord, StatusChangeRecord,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -87,7 +87,8 @@
         vec![request(arrives_at, RequestEnd::Served, arrives_at + 10)],
         vec![arrival(arrives_at, true)],
     );
-    drained.listings = vec![ListingRecord { server: 0, at: at(1000), is_ready: false, written_at }];
+    drained.status_changes =
+        vec![StatusChangeRecord { server: 0, at: at(1000), is_ready: false, written_at }];
     drained
 }
 
@@ -111,6 +112,6 @@
     assert_eq!(restarted.breaks(GRACE), []);
     let mut ready = drained(BTreeMap::new(), 9000);
     let written_at = BTreeMap::new();
-    ready.listings.push(ListingRecord { server: 0, at: at(3000), is_ready: true, written_at });
+    ready.status_changes.push(StatusChangeRecord { server: 0, at: at(3000), is_ready: true, written_at });
     assert_eq!(ready.breaks(GRACE), []);
 }
