--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -63,7 +63,9 @@
     pub max_poll_interval: Millis,
     /// What is listed counts as told to a gateway this long after it lost its watch, arrived or not.
     pub update_delay_after_loss: Millis,
-    /// The same from the moment in which its watch fell silent.
+    /// What was listed before a process started counts as told to it this long after its start.
+    pub update_delay_after_start: Millis,
+    /// What is listed counts as told this long after a watch fell silent.
     pub update_delay_after_silence: Millis,
     /// What is listed counts as told this long after the discovery service moved to another address.
     pub update_delay_after_move: Millis,
--- a/crates/policy/src/list_lease.rs
+++ b/crates/policy/src/list_lease.rs
@@ -44,7 +44,7 @@
     pub(crate) fn cached(discovery: &DiscoveryConfig, now: Millis) -> Self {
         ListLease {
             confirmed_at: f64::NEG_INFINITY,
-            expires_at: now + discovery.drain_grace - LEASE_MARGIN,
+            expires_at: now + discovery.update_delay_after_start + discovery.drain_grace - LEASE_MARGIN,
             no_proof_before: now,
         }
     }
--- a/crates/policy/tests/policy/support/config.rs
+++ b/crates/policy/tests/policy/support/config.rs
@@ -79,6 +79,7 @@
             discovery: DiscoveryConfig {
                 must_subscribe: true,
                 max_poll_interval: 10_000.0,
+                update_delay_after_start: 0.0,
                 update_delay_after_loss: config.update_delay_after_loss,
                 update_delay_after_silence: 6000.0,
                 update_delay_after_move: 4000.0,
--- a/crates/simulator-protocol/src/settings/mod.rs
+++ b/crates/simulator-protocol/src/settings/mod.rs
@@ -28,6 +28,7 @@
 
 /// When updates count as told to an instance that misses them, in ms.
 struct UpdateDelays {
+    after_start: Millis,
     after_loss: Millis,
     after_silence: Millis,
     after_move: Millis,
@@ -60,7 +61,8 @@
         .map_err(|error| SettingsError::Malformed(error.to_string()))?;
     checks::consistency(&schema)?;
     let delay = FAILED_CALL_POLLS * ms(schema.rules.ask_within);
-    let update_delays = UpdateDelays { after_loss: delay, after_silence: delay, after_move: delay };
+    let update_delays =
+        UpdateDelays { after_start: delay, after_loss: delay, after_silence: delay, after_move: delay };
     Ok(Settings { schema, update_delays })
 }
 
@@ -88,6 +90,7 @@
     pub fn on_sockets(mut self) -> Self {
         let is_pushed = self.schema.registry_mode == schema::RegistryMode::Automatic;
         self.update_delays = UpdateDelays {
+            after_start: 0.0,
             after_loss: if is_pushed { 0.0 } else { SOCKET_UPDATE_DELAY },
             after_silence: SOCKET_UPDATE_DELAY,
             after_move: SOCKET_MOVE_DELAY,
@@ -153,6 +156,7 @@
         DiscoveryConfig {
             must_subscribe: self.schema.registry_mode == schema::RegistryMode::Subscribe,
             max_poll_interval: ms(self.schema.rules.ask_within),
+            update_delay_after_start: self.update_delays.after_start,
             update_delay_after_loss: self.update_delays.after_loss,
             update_delay_after_silence: self.update_delays.after_silence,
             update_delay_after_move: self.update_delays.after_move,
