Review case 1: a late second answer is served to another client's request

Cause: the gateway reuses a connection as soon as an answer is complete and looks for unread bytes only before the write, so a second copy that is still under way is read as the answer to the next query.

--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,14 @@
+//! The cases of this review and their stand-ins. `run.sh` of a case starts this program with the case's number.
+
+mod common;
+mod late_copy;
+
+fn main() {
+    let case = std::env::args().nth(1).unwrap_or_default();
+    let record = std::env::args().nth(2).unwrap_or_else(|| "record.txt".to_string());
+    let code = match case.as_str() {
+        "late-copy" => late_copy::run(&record),
+        _ => common::could_not_run("unknown case"),
+    };
+    std::process::exit(code);
+}
