--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -13,10 +13,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: u64) -> i32;
 }
-const SIGKILL: i32 = 9;
+const SIGKILL: u64 = 9;
 const PR_SET_PDEATHSIG: i32 = 1;
 
 pub fn ms(count: u64) -> Duration {
@@ -115,10 +114,6 @@
     [message(b'T', &description), message(b'D', &data), message(b'C', format!("{tag}\0").as_bytes())].concat()
 }
 
-pub fn error(code: &str) -> Vec<u8> {
-    message(b'E', format!("SERROR\0VERROR\0C{code}\0Mno\0\0").as_bytes())
-}
-
 pub fn startup() -> Vec<u8> {
     let body = b"\0\x03\0\0user\0app\0database\0shop\0\0";
     [&(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
@@ -189,10 +184,6 @@
         self.stream.write_all(bytes)
     }
 
-    pub fn close_now(&self) {
-        let _ = self.stream.shutdown(Shutdown::Both);
-    }
-
     /// Reads one answer up to `ReadyForQuery` or a fatal error, for at most `wait`.
     pub fn read_answer(&mut self, wait: Duration) -> Answer {
         let until = Instant::now() + wait;
@@ -412,9 +403,6 @@
 /// A gateway process. It is killed when this value is dropped, or when the case ends in another way.
 pub struct Gateway {
     child: Child,
-    pub address: SocketAddr,
-    pub config_path: PathBuf,
-    log_path: PathBuf,
 }
 
 impl Gateway {
@@ -436,12 +424,12 @@
         // The gateway ends with the case, whatever ends the case.
         unsafe {
             command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
                 Ok(())
             });
         }
         let child = command.spawn().expect("the gateway can be started");
-        let gateway = Gateway { child, address, config_path, log_path };
+        let gateway = Gateway { child };
         let until = Instant::now() + ms(15_000);
         while Instant::now() < until {
             if Client::connect(address).is_ok_and(|mut client| client.is_ready(ms(6000))) {
@@ -452,21 +440,9 @@
         could_not_run("the gateway is not ready");
     }
 
-    pub fn signal(&self, signal: i32) {
-        unsafe { kill(self.child.id() as i32, signal) };
-    }
-
     pub fn is_alive(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
-
-    pub fn exit_code(&mut self) -> Option<i32> {
-        self.child.try_wait().ok().flatten().and_then(|status| status.code())
-    }
-
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(&self.log_path).unwrap_or_default()
-    }
 }
 
 impl Drop for Gateway {
