Show that a control service publishes nothing after a restart that follows late news

The start of a state is computed from the time of receipt, so the stored state seems newer than the same state told in time, which is never accepted as its confirmation. Measured: no drain reaches any of three proxies, and a new one gets no response; all do without the late news.

--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -1,4 +1,4 @@
-//! A gateway as a process of its own, started with the line `run` of the deploy file.
+//! The project's program as a process of its own, started with the line `run` of the deploy file.
 
 use crate::record::note;
 use std::io;
@@ -59,10 +59,68 @@
     pub seed: u64,
 }
 
+/// Starts a command line from the root. What it writes goes to a file in the folder for temporary files.
+fn spawn(line: &str, variables: &[(&str, String)], log: &str) -> io::Result<Child> {
+    let folder = work();
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(folder.join(log))?;
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", line]).current_dir(root()).stdin(Stdio::null()).env("TMPDIR", &folder);
+    for (name, value) in variables {
+        command.env(name, value);
+    }
+    if let Ok(level) = std::env::var("GATEWAY_LOG") {
+        command.env("LATCHHAVEN_LOG", level);
+    }
+    command.stdout(log.try_clone()?).stderr(log);
+    // SAFETY: `prctl` with these integers is a plain system call. The process ends with this program, whatever ends that.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+            Ok(())
+        })
+    };
+    command.spawn()
+}
+
+/// The folder for temporary files.
+pub fn work() -> PathBuf {
+    PathBuf::from(std::env::var("WORK").unwrap_or_else(|_| "/tmp".to_string()))
+}
+
+/// A control service with this file; it is killed when this value is dropped.
+pub struct ControlService {
+    child: Child,
+}
+
+impl ControlService {
+    pub fn start(file: &std::path::Path) -> io::Result<Self> {
+        let line = format!("{} control {}", run_line()?, file.display());
+        let child = spawn(&line, &[], "control.log")?;
+        note(format!("control service: started with '{} control FILE'", run_line()?));
+        Ok(ControlService { child })
+    }
+
+    /// A planned restart: SIGTERM, and the end of the process.
+    pub fn stop(mut self) -> Option<()> {
+        // SAFETY: `kill` takes two integers; the process is a child that was not waited for.
+        unsafe { kill(self.child.id() as i32, SIGTERM) };
+        let status = self.child.wait().ok()?;
+        note(format!("control service: ended after SIGTERM, {status}"));
+        Some(())
+    }
+}
+
+impl Drop for ControlService {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 impl Gateway {
     pub fn start(told: &Told) -> io::Result<Self> {
         let addr = free_address();
-        let folder = PathBuf::from(std::env::var("WORK").unwrap_or_else(|_| "/tmp".to_string()));
+        let folder = work();
         let config = format!(
             r#"{{"name":"n0","listen":"{addr}","discovery":"{}","seed":"{:016x}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"pipeline":{{"address":"{}","news":{}}},"known":{},"settings":{}}}"#,
             told.discovery,
@@ -76,25 +134,14 @@
         );
         let path = folder.join("config.json");
         std::fs::write(&path, config)?;
-        let log = std::fs::File::create(folder.join("gateway.log"))?;
         let run = run_line()?;
-        let mut command = Command::new("/bin/sh");
-        command.args(["-c", &run]).current_dir(root()).stdin(Stdio::null());
-        command.env("BALANCER_CONFIG", &path).env("BALANCER_NAME", "n0");
-        command.env("BALANCER_LISTEN", addr.to_string());
-        command.env("BALANCER_DISCOVERY", told.discovery.to_string()).env("TMPDIR", &folder);
-        if let Ok(level) = std::env::var("GATEWAY_LOG") {
-            command.env("LATCHHAVEN_LOG", level);
-        }
-        command.stdout(log.try_clone()?).stderr(log);
-        // SAFETY: `prctl` with these integers is a plain system call. The gateway ends with this program, whatever ends that.
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
-                Ok(())
-            })
-        };
-        let child = command.spawn()?;
+        let variables = [
+            ("BALANCER_CONFIG", path.display().to_string()),
+            ("BALANCER_NAME", "n0".to_string()),
+            ("BALANCER_LISTEN", addr.to_string()),
+            ("BALANCER_DISCOVERY", told.discovery.to_string()),
+        ];
+        let child = spawn(&run, &variables, "gateway.log")?;
         note(format!("gateway: started with '{run}' at {addr}"));
         Ok(Gateway { child, addr, folder })
     }
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod gateway;
 pub mod http;
 pub mod instance;
+pub mod link;
 pub mod pg;
 pub mod platform;
 pub mod record;
 pub mod settings;
+pub mod xds;
 
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
