--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../standins-2/run-case.sh" "$(dirname "$0")" stale_rollout
+exec "$(dirname "$0")/../standins-2/run-case.sh" "$(dirname "$0")" memory_limit
--- a/review/standins-2/src/bin/control_restart.rs
+++ b/review/standins-2/src/bin/control_restart.rs
@@ -45,7 +45,7 @@
     let discovery = Discovery::start((0..9).map(host).collect());
     let rollout = |step, status, began| Rollout { version: 42, step, status, cap: 1.0, began };
     let platform = Platform::start(rollout(3, "IN_PROGRESS", now_ms()));
-    let link = Link::start(platform.addr);
+    let link = Link::start(platform.addr, 0.0, 0.0);
     let xds = free_address();
     let file = write_file(&xds.to_string(), &discovery.addr.to_string(), &link.addr.to_string())
         .map_err(|error| format!("the file of the control service: {error}"))?;
--- a/review/standins-2/src/bin/key_returns.rs
+++ b/review/standins-2/src/bin/key_returns.rs
@@ -3,7 +3,7 @@
 use review_standins_2::client::{Answer, Ask, Clients};
 use review_standins_2::discovery::{Discovery, Host};
 use review_standins_2::gateway::{Gateway, Told};
-use review_standins_2::instance::{Arrivals, Behavior, Instance, NO_LIMIT};
+use review_standins_2::instance::{Arrivals, Behavior, Instance};
 use review_standins_2::platform::{Platform, Rollout};
 use review_standins_2::record::{self, note};
 use review_standins_2::{Rng, Verdict, has_trouble, now_ms, record_traffic, run_case, settings, sleep_until, unix_ms};
@@ -22,7 +22,7 @@
     let is_late = has_trouble() && ["old-0", "old-2", "old-4", "old-6", "old-8"].contains(&name);
     let startup_ms = move |_connection: usize| if is_late { LATE_BY_MS } else { 0.0 };
     let work_ms = |class: &str| if class == "book-slot" { 45.0 } else { 68.0 };
-    let behavior = Behavior { startup_ms: Box::new(startup_ms), work_ms: Box::new(work_ms), slots: NO_LIMIT, returns_document: false };
+    let behavior = Behavior { startup_ms: Box::new(startup_ms), ..Behavior::sound(work_ms) };
     Instance::start(name, release, behavior, arrivals)
 }
 
--- a/review/standins-2/src/bin/memory_limit.rs
+++ b/review/standins-2/src/bin/memory_limit.rs
@@ -26,12 +26,7 @@
     let work_ms = |class: &str| if class == "box-lookup" { 76.0 } else { 117.0 };
     let nodes: Vec<Instance> = (0..14)
         .map(|n| {
-            let behavior = Behavior {
-                startup_ms: Box::new(|_| 0.0),
-                work_ms: Box::new(work_ms),
-                slots: 2,
-                returns_document: true,
-            };
+            let behavior = Behavior { slots: 2, returns_document: true, ..Behavior::sound(work_ms) };
             Instance::start(&format!("node-{n}"), 41, behavior, &arrivals)
         })
         .collect();
--- a/review/standins-2/src/bin/stale_rollout.rs
+++ b/review/standins-2/src/bin/stale_rollout.rs
@@ -1,16 +1,19 @@
 //! A build is taken off while the gateway stands still for less than a second: does it stop sending to the build?
 
-use review_standins_2::client::{Answer, Ask, Clients};
+use review_standins_2::client::{Answer, Ask, Clients, Outcome};
 use review_standins_2::discovery::{Discovery, Host};
 use review_standins_2::gateway::{Gateway, SIGCONT, SIGSTOP, Told};
-use review_standins_2::instance::{Arrivals, Behavior, Instance, NO_LIMIT};
+use review_standins_2::instance::{Arrivals, Behavior, Instance};
 use review_standins_2::platform::{Platform, Rollout};
 use review_standins_2::record::{self, note};
 use review_standins_2::{Rng, Verdict, has_trouble, now_ms, record_traffic, run_case, settings, sleep_until, unix_ms};
+use std::sync::Mutex;
 
 /// The window of the rule on exposure, and what passes in it at a cap of 0: the free number and the slack of the protocol page.
 const WINDOW_MS: f64 = 3000.0;
 const PASSES: usize = 2 + 2;
+/// Share of the txns to which the release on trial gives wrong answers.
+const WRONG_SHARE: f64 = 0.2;
 /// From the telling of a lower cap until it binds: grace for drains, slack of the protocol page, 50 ms on each limit.
 const BINDS_AFTER_MS: f64 = 500.0 + 150.0 + 50.0;
 
@@ -20,7 +23,10 @@
         "applicant-save" => 90.0,
         _ => 60.0,
     };
-    let behavior = Behavior { startup_ms: Box::new(|_| 0.0), work_ms: Box::new(work_ms), slots: NO_LIMIT, returns_document: false };
+    // The release on trial is bad: it gives wrong answers to some txns.
+    let rng = Mutex::new(Rng(0x2545_f491_4f6c_dd1d ^ unix_ms() ^ u64::from(release)));
+    let is_wrong = move || release == 42 && rng.lock().unwrap().unit() < WRONG_SHARE;
+    let behavior = Behavior { is_wrong: Box::new(is_wrong), ..Behavior::sound(work_ms) };
     Instance::start(name, release, behavior, arrivals)
 }
 
@@ -160,11 +166,17 @@
     let outcomes = clients.outcomes.lock().unwrap().clone();
     record_traffic(&arrivals, &outcomes);
     let served = outcomes.iter().filter(|outcome| matches!(outcome.answer, Answer::Served(_))).count();
+    let is_late_and_wrong = |outcome: &&Outcome| {
+        let Answer::Served(value) = &outcome.answer else { return false };
+        let sent_late = late.iter().any(|arrival| arrival.id == outcome.id);
+        sent_late && String::from_utf8_lossy(value).ends_with("WRONG")
+    };
+    let wrong = outcomes.iter().filter(is_late_and_wrong).count();
     let is_broken = worst.0 > PASSES;
     let summary = format!(
         "{}\nrequests {}, served {served}; queries at the build on trial before its cap fell to 0: {}\n\
          queries at that build from {BINDS_AFTER_MS} ms after the cap of 0 was told until its hosts were listed as draining: {}\n\
-         most of one product within 3 s: {} {} (at most {PASSES} pass)",
+         most of one product within 3 s: {} {} (at most {PASSES} pass); clients served a wrong answer by those queries: {wrong}",
         if is_broken { "BROKEN: exposure within the cap" } else { "held" },
         outcomes.len(),
         to_new.iter().filter(|arrival| arrival.at < told_at).count(),
--- a/review/standins-2/src/instance.rs
+++ b/review/standins-2/src/instance.rs
@@ -1,10 +1,12 @@
 //! An instance: one request at a time on each connection, the value tells for which request it was made.
 
+use crate::record::note;
 use crate::{now_ms, pg, sleep_ms};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
 
 /// A query whose last byte has come.
 #[derive(Clone, Debug)]
@@ -30,6 +32,24 @@
     pub slots: usize,
     /// An INSERT returns the document that it wrote; else a short text that names the request and the instance.
     pub returns_document: bool,
+    /// By how many ms the second copy of an answer is late; `None` for most answers, which have none.
+    pub second_answer_ms: Box<dyn Fn() -> Option<f64> + Send + Sync>,
+    /// Whether an answer is wrong: whole and valid, but not what the client needs.
+    pub is_wrong: Box<dyn Fn() -> bool + Send + Sync>,
+}
+
+impl Behavior {
+    /// A sound instance that works so many ms on a request of a class, without a limit on requests at a time.
+    pub fn sound(work_ms: impl Fn(&str) -> f64 + Send + Sync + 'static) -> Self {
+        Behavior {
+            startup_ms: Box::new(|_| 0.0),
+            work_ms: Box::new(work_ms),
+            slots: NO_LIMIT,
+            returns_document: false,
+            second_answer_ms: Box::new(|| None),
+            is_wrong: Box::new(|| false),
+        }
+    }
 }
 
 /// Free slots of an instance.
@@ -51,7 +71,7 @@
 }
 
 /// Slots without a limit.
-pub const NO_LIMIT: usize = usize::MAX / 2;
+const NO_LIMIT: usize = usize::MAX / 2;
 
 pub struct Instance {
     pub name: String,
@@ -138,10 +158,23 @@
         shared.slots.release();
         let tag = if text.starts_with("INSERT") { "INSERT 0 1" } else { "SELECT 1" };
         let document = if shared.behavior.returns_document { pg::document(&text) } else { None };
-        let value = document.unwrap_or_else(|| format!("for {id} by {}", shared.name).into_bytes());
+        let wrong = if (shared.behavior.is_wrong)() { " WRONG" } else { "" };
+        let value = document.unwrap_or_else(|| format!("for {id} by {}{wrong}", shared.name).into_bytes());
         let load = pg::message(b'S', b"load\0queue=0,qps=10\0");
         let answer = [load, pg::row(&value, tag), pg::READY.to_vec()].concat();
         shared.arrivals.lock().unwrap()[position].served_at = Some(now_ms());
         stream.write_all(&answer).ok()?;
+        if let Some(late) = (shared.behavior.second_answer_ms)() {
+            // Only if not one byte of another query has come by then.
+            stream.set_read_timeout(Some(Duration::from_secs_f64(late / 1000.0))).ok()?;
+            let is_quiet = stream.peek(&mut [0]).is_err_and(|error| {
+                matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+            });
+            stream.set_read_timeout(None).ok()?;
+            if is_quiet {
+                note(format!("{}: second answer for {id}, {late:.1} ms after the first", shared.name));
+                stream.write_all(&answer).ok()?;
+            }
+        }
     }
 }
