Show that a late copy of a refusal makes a take-payment run twice

The gateway takes a copy that is under way as it writes a query for that query's refusal, and sends the once-only request elsewhere.

--- a/review/standins-2/src/bin/second_answers.rs
+++ b/review/standins-2/src/bin/second_answers.rs
@@ -1,4 +1,5 @@
-//! Some answers come a second time, some milliseconds late: does each client get the value made for its request?
+//! Some answers come a second time, some milliseconds late: does each client get the value made for its request, and does a
+//! once-only txn run once?
 
 use review_standins_2::client::{Answer, Ask, Clients};
 use review_standins_2::discovery::{Discovery, Host};
@@ -11,14 +12,17 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 
-/// One answer in so many has a second copy, so many ms late.
-const ONE_IN: f64 = 20.0;
+/// By how many ms a second copy of an answer is late.
 const LATE_MS: std::ops::Range<f64> = 1.0..25.0;
 /// One way, in ms: within the gateway's site, and to the other one.
 const NEAR_MS: f64 = 0.2;
 const FAR_MS: f64 = 2.4;
-const REQUESTS_A_SECOND: f64 = 180.0;
-const END_MS: f64 = 40_000.0;
+/// One answer in so many has a second copy.
+const COPY_ONE_IN: f64 = 5.0;
+/// One query in so many is turned away, in both runs: the traffic of other gateways fills the queue of its host.
+const FULL_ONE_IN: f64 = 4.0;
+const REQUESTS_A_SECOND: f64 = 220.0;
+const END_MS: f64 = 80_000.0;
 
 fn run() -> Result<Verdict, String> {
     let arrivals = Arrivals::default();
@@ -28,13 +32,16 @@
             let rng = Mutex::new(Rng((n + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ unix_ms()));
             let second_answer_ms = move || {
                 let mut rng = rng.lock().unwrap();
-                let has_copy = has_trouble() && rng.unit() < 1.0 / ONE_IN;
+                let has_copy = has_trouble() && rng.unit() < 1.0 / COPY_ONE_IN;
                 has_copy.then(|| LATE_MS.start + (LATE_MS.end - LATE_MS.start) * rng.unit())
             };
+            let rng = Mutex::new(Rng((n + 77).wrapping_mul(0x2545_f491_4f6c_dd1d) ^ unix_ms()));
+            let is_full = move || rng.lock().unwrap().unit() < 1.0 / FULL_ONE_IN;
             let work_ms = |class: &str| if class == "repeat-check" || class == "place-order" { 30.0 } else { 60.0 };
             let behavior = Behavior {
                 startup_ms: Box::new(|_| 1.0),
                 second_answer_ms: Box::new(second_answer_ms),
+                is_full: Box::new(is_full),
                 ..Behavior::sound(work_ms)
             };
             let instance = Instance::start(&format!("host-{n}"), 41, behavior, &arrivals);
@@ -116,9 +123,27 @@
         }
     }
     let total: u32 = wrong.values().sum();
+    // A query that was not turned away has run. A once-only txn may be submitted again only if no earlier submission can have run.
+    let mut runs: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut twice = 0;
+    for arrival in arrivals.iter().filter(|arrival| arrival.class == "take-payment" && !arrival.is_turned_away) {
+        let count = runs.entry(&arrival.id).or_default();
+        *count += 1;
+        if *count == 2 {
+            twice += 1;
+            record::note_at(arrival.at, format!("BROKEN: {} runs take-payment {} a second time", arrival.instance, arrival.id));
+        }
+    }
+    let payments = runs.len();
     let summary = format!(
-        "{}\nrequests {}, served {served}, of these with a value made for another client's request: {total} {wrong:?}",
-        if total > 0 { "BROKEN: a client is served only the value made for its request" } else { "held" },
+        "{}\nrequests {}, served {served}, of these with a value made for another client's request: {total} {wrong:?}\n\
+         take-payments that ran {payments}, of these more than once: {twice}",
+        match (twice > 0, total > 0) {
+            (true, true) => "BROKEN: no effect happens twice; a client is served only the value made for its request",
+            (true, false) => "BROKEN: no effect happens twice",
+            (false, true) => "BROKEN: a client is served only the value made for its request",
+            (false, false) => "held",
+        },
         outcomes.len(),
     );
     println!("{summary}");
@@ -127,9 +152,9 @@
     if served * 2 < outcomes.len() {
         return Err("fewer than half of the requests were served".into());
     }
-    Ok(if total > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if total > 0 || twice > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
 fn main() {
-    run_case(90_000.0, run);
+    run_case(110_000.0, run);
 }
--- a/review/standins-2/src/instance.rs
+++ b/review/standins-2/src/instance.rs
@@ -34,6 +34,8 @@
     pub returns_document: bool,
     /// By how many ms the second copy of an answer is late; `None` for most answers, which have none.
     pub second_answer_ms: Box<dyn Fn() -> Option<f64> + Send + Sync>,
+    /// Whether the queue is full, by the traffic of other gateways: the query is turned away.
+    pub is_full: Box<dyn Fn() -> bool + Send + Sync>,
     /// Whether an answer is wrong: whole and valid, but not what the client needs.
     pub is_wrong: Box<dyn Fn() -> bool + Send + Sync>,
 }
@@ -47,6 +49,7 @@
             slots: NO_LIMIT,
             returns_document: false,
             second_answer_ms: Box::new(|| None),
+            is_full: Box::new(|| false),
             is_wrong: Box::new(|| false),
         }
     }
@@ -132,7 +135,7 @@
         let text = String::from_utf8_lossy(&message.body[..message.body.len() - 1]).into_owned();
         let id = pg::field(&text, "id").unwrap_or_default();
         let class = pg::field(&text, "c").unwrap_or_default();
-        let is_turned_away = shared.is_draining.load(SeqCst);
+        let is_turned_away = shared.is_draining.load(SeqCst) || (shared.behavior.is_full)();
         let position = {
             let mut arrivals = shared.arrivals.lock().unwrap();
             arrivals.push(Arrival {
@@ -147,7 +150,7 @@
             arrivals.len() - 1
         };
         if is_turned_away {
-            stream.write_all(&[&pg::error("53300"), pg::READY].concat()).ok()?;
+            answer(&mut stream, shared, &id, &[&pg::error("53300"), pg::READY].concat())?;
             continue;
         }
         while shared.is_hanging.load(SeqCst) {
@@ -161,20 +164,24 @@
         let wrong = if (shared.behavior.is_wrong)() { " WRONG" } else { "" };
         let value = document.unwrap_or_else(|| format!("for {id} by {}{wrong}", shared.name).into_bytes());
         let load = pg::message(b'S', b"load\0queue=0,qps=10\0");
-        let answer = [load, pg::row(&value, tag), pg::READY.to_vec()].concat();
+        let bytes = [load, pg::row(&value, tag), pg::READY.to_vec()].concat();
         shared.arrivals.lock().unwrap()[position].served_at = Some(now_ms());
-        stream.write_all(&answer).ok()?;
-        if let Some(late) = (shared.behavior.second_answer_ms)() {
-            // Only if not one byte of another query has come by then.
-            stream.set_read_timeout(Some(Duration::from_secs_f64(late / 1000.0))).ok()?;
-            let is_quiet = stream.peek(&mut [0]).is_err_and(|error| {
-                matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
-            });
-            stream.set_read_timeout(None).ok()?;
-            if is_quiet {
-                note(format!("{}: second answer for {id}, {late:.1} ms after the first", shared.name));
-                stream.write_all(&answer).ok()?;
-            }
-        }
+        answer(&mut stream, shared, &id, &bytes)?;
+    }
+}
+
+/// Writes an answer and, where it has one, its second copy, if not one byte of another query has come by then.
+fn answer(stream: &mut TcpStream, shared: &Shared, id: &str, bytes: &[u8]) -> Option<()> {
+    stream.write_all(bytes).ok()?;
+    let Some(late) = (shared.behavior.second_answer_ms)() else { return Some(()) };
+    stream.set_read_timeout(Some(Duration::from_secs_f64(late / 1000.0))).ok()?;
+    let is_quiet = stream.peek(&mut [0]).is_err_and(|error| {
+        matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+    });
+    stream.set_read_timeout(None).ok()?;
+    if is_quiet {
+        note(format!("{}: second answer for {id}, {late:.1} ms after the first", shared.name));
+        stream.write_all(bytes).ok()?;
     }
+    Some(())
 }
