Let a second answer be late by exactly the time that the case names

The stand-in waited with a time limit of the socket, which the kernel rounds up, by up to some 8 ms on this machine: copies named 12 ms late were later than the settle time. It polls now.

--- a/review/standins-2/src/instance.rs
+++ b/review/standins-2/src/instance.rs
@@ -6,7 +6,6 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
 
 /// A query whose last byte has come.
 #[derive(Clone, Debug)]
@@ -174,13 +173,20 @@
 fn answer(stream: &mut TcpStream, shared: &Shared, id: &str, bytes: &[u8]) -> Option<()> {
     stream.write_all(bytes).ok()?;
     let Some(late) = (shared.behavior.second_answer_ms)() else { return Some(()) };
-    stream.set_read_timeout(Some(Duration::from_secs_f64(late / 1000.0))).ok()?;
-    let is_quiet = stream.peek(&mut [0]).is_err_and(|error| {
-        matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
-    });
-    stream.set_read_timeout(None).ok()?;
+    let written_at = now_ms();
+    // Looks for bytes until the end: a time limit of the socket would be rounded up by some ms on some machines.
+    stream.set_nonblocking(true).ok()?;
+    let is_quiet = loop {
+        let is_quiet = stream.peek(&mut [0]).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+        let left = written_at + late - now_ms();
+        if !is_quiet || left <= 0.0 {
+            break is_quiet;
+        }
+        sleep_ms(left.min(0.2));
+    };
+    stream.set_nonblocking(false).ok()?;
     if is_quiet {
-        note(format!("{}: second answer for {id}, {late:.1} ms after the first", shared.name));
+        note(format!("{}: second answer for {id}, {:.1} ms after the first", shared.name, now_ms() - written_at));
         stream.write_all(bytes).ok()?;
     }
     Some(())
