--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -10,11 +10,12 @@
 fi
 WORK=$(mktemp -d) || exit 2
 trap 'rm -rf "$WORK"' EXIT
-trap 'exit 2' INT TERM
-export ROOT WORK
 RECORD="$CASE/record.txt"
-export RECORD
-"$PROGRAM"
+export ROOT WORK RECORD
+# The program ends by itself in time. The processes that it starts end with it, whatever ends it.
+"$PROGRAM" &
+trap 'kill $! 2>/dev/null; exit 2' INT TERM
+wait $!
 code=$?
 # Anything but the three codes, such as the end by a signal, is no verdict.
 case $code in
--- a/review/standins-2/src/bin/control_restart.rs
+++ b/review/standins-2/src/bin/control_restart.rs
@@ -3,7 +3,7 @@
 use review_standins_2::discovery::{Discovery, Host};
 use review_standins_2::gateway::{ControlService, free_address, root, work};
 use review_standins_2::link::Link;
-use review_standins_2::platform::{Platform, Rollout};
+use review_standins_2::platform::{Platform, Rollout, Single};
 use review_standins_2::record::{self, note};
 use review_standins_2::xds::{DRAINING, HEALTHY, Proxy};
 use review_standins_2::{Verdict, has_trouble, now_ms, run_case, sleep_until};
@@ -13,16 +13,12 @@
 const CONVERGES_WITHIN_MS: f64 = 5000.0;
 const LATE_BY_MS: f64 = 2600.0;
 
-/// `deploy/control.star` with the addresses of the stand-ins, a state file, and votes of a majority of five.
+/// `deploy/control.star` with the addresses of the stand-ins and a state file; `deploy/site.star` as it is.
 fn write_file(xds: &str, discovery: &str, platform: &str) -> std::io::Result<PathBuf> {
-    let site = std::fs::read_to_string(root().join("deploy/site.star"))?;
-    let site = site.replace("\"vote-mode\": \"single\"", "\"vote-mode\": \"majority\"");
-    let site = site.replace("\"votes-to-go\": 1", "\"votes-to-go\": 3").replace("\"votes-to-revert\": 1", "\"votes-to-revert\": 3");
-    std::fs::write(work().join("site.star"), site)?;
+    std::fs::copy(root().join("deploy/site.star"), work().join("site.star"))?;
     let text = std::fs::read_to_string(root().join("deploy/control.star"))?;
     let state = format!("\"state\": \"{}\",", work().join("control.redb").display());
     let text = text.replace("127.0.0.1:8500", discovery).replace("127.0.0.1:6400", platform).replace("127.0.0.1:18000", xds);
-    let text = text.replace("\"replicas-of-me\": 1", "\"replicas-of-me\": 5");
     let text = text.replace("# \"state\": \"/var/lib/latchhaven/control.redb\",", &state);
     if !text.contains(&state) || !text.contains(xds) {
         return Err(std::io::Error::other("deploy/control.star is not as expected"));
@@ -43,9 +39,14 @@
         release: 42,
     };
     let discovery = Discovery::start((0..9).map(host).collect());
-    let rollout = |step, status, began| Rollout { version: 42, step, status, cap: 1.0, began };
-    let platform = Platform::start(rollout(3, "IN_PROGRESS", now_ms()));
-    let link = Link::start(platform.addr, 0.0, 0.0);
+    // The last ring began half a second ago, and can be released 2 s after that by one vote.
+    let rollout = Rollout { version: 42, step: 3, status: "IN_PROGRESS", cap: 1.0, began: now_ms() - 500.0 };
+    let caps = [0.04, 0.15, 0.5, 1.0];
+    let soak_over = now_ms() + 1500.0;
+    let single = Single { soak_over, vote_life_ms: 6000.0, caps, told_after_ms: vec![500.0] };
+    let platform = Platform::start_single(rollout, single);
+    // With the disruption all that the platform tells is late for the first 16 s.
+    let link = Link::start(platform.addr, 0.0, if has_trouble() { LATE_BY_MS } else { 0.0 });
     let xds = free_address();
     let file = write_file(&xds.to_string(), &discovery.addr.to_string(), &link.addr.to_string())
         .map_err(|error| format!("the file of the control service: {error}"))?;
@@ -54,40 +55,36 @@
     let service = ControlService::start(&file).map_err(|error| format!("the control service did not start: {error}"))?;
     at(1.0);
     let proxies: Vec<Proxy> = (0..3).map(|n| Proxy::start(&format!("proxy-{n}"), xds)).collect();
-    at(4.0);
+    at(8.0);
     let port = |n: u16| 9100 + n;
     if !proxies.iter().all(|proxy| proxy.host(port(0)).is_some_and(|(health, _)| health == HEALTHY)) {
-        return Err("the proxies did not get the hosts within 3 s".into());
+        return Err("the proxies did not get the hosts within 7 s".into());
     }
-    if has_trouble() {
-        note("platform: all that it tells is later than usual from now on");
-        *link.late_by.lock().unwrap() = LATE_BY_MS;
+    if platform.current().status != "COMPLETE" {
+        return Err("the service did not vote for the release within 8 s".into());
     }
-    at(14.0);
-    // The votes of a majority stand: the last ring is over, and the cut is released. It is told half a second later.
-    platform.change(rollout(3, "COMPLETE", now_ms()));
-    at(14.5);
+    // It tells its state again every 6 s.
+    at(10.0);
     platform.tell();
-    at(20.0);
+    at(16.0);
     *link.late_by.lock().unwrap() = 0.0;
-    note("platform: what it tells comes as usual again");
-    at(20.5);
+    note("platform: what it tells comes as usual from now on");
     platform.tell();
-    at(24.0);
+    at(20.0);
     service.stop().ok_or("the control service did not end")?;
     let service = ControlService::start(&file).map_err(|error| format!("the control service did not start again: {error}"))?;
-    at(26.5);
+    at(22.0);
     platform.tell();
-    at(30.0);
+    at(26.0);
     // An ordinary drain. Another proxy starts at the same time.
     let told_at = now_ms();
     discovery.publish(vec![Host { health: "draining".into(), ..discovery.host("h-0") }]);
     let late_comer = Proxy::start("proxy-new", xds);
-    at(32.5);
+    at(28.0);
     platform.tell();
-    at(38.5);
+    at(34.0);
     platform.tell();
-    at(42.0);
+    at(38.0);
     let is_told = |proxy: &Proxy| {
         proxy.host(port(0)).is_some_and(|(health, at)| health == DRAINING && at <= told_at + CONVERGES_WITHIN_MS)
     };
--- a/review/standins-2/src/bin/key_returns.rs
+++ b/review/standins-2/src/bin/key_returns.rs
@@ -4,7 +4,7 @@
 use review_standins_2::discovery::{Discovery, Host};
 use review_standins_2::gateway::{Gateway, Told};
 use review_standins_2::instance::{Arrivals, Behavior, Instance};
-use review_standins_2::platform::{Platform, Rollout};
+use review_standins_2::platform::{Platform, Rollout, Single};
 use review_standins_2::record::{self, note};
 use review_standins_2::{Rng, Verdict, has_trouble, now_ms, record_traffic, run_case, settings, sleep_until, unix_ms};
 use std::collections::BTreeMap;
@@ -13,10 +13,8 @@
 const SLACK_MS: f64 = 50.0;
 /// Added to the set-up of new connections to some instances: five of fifteen.
 const LATE_BY_MS: f64 = 200.0;
-/// Pairs of one burst; after a burst it is quiet until the connections, idle for 15 s, are closed.
-const BURST: u64 = 40;
-const BURSTS: u64 = 3;
-const QUIET_MS: f64 = 14_500.0;
+/// When bursts of pairs begin, and how many pairs each has.
+const BURSTS: [(f64, u64); 4] = [(100.0, 50), (1100.0, 60), (2200.0, 70), (3300.0, 80)];
 
 fn start_instance(name: &str, release: u32, arrivals: &Arrivals) -> Instance {
     let is_late = has_trouble() && ["old-0", "old-2", "old-4", "old-6", "old-8"].contains(&name);
@@ -29,7 +27,7 @@
 fn run() -> Result<Verdict, String> {
     let arrivals = Arrivals::default();
     let old: Vec<Instance> = (0..10).map(|n| start_instance(&format!("old-{n}"), 41, &arrivals)).collect();
-    let new: Vec<Instance> = (0..5).map(|n| start_instance(&format!("new-{n}"), 42, &arrivals)).collect();
+    let new: Vec<Instance> = (0..10).map(|n| start_instance(&format!("new-{n}"), 42, &arrivals)).collect();
     let host = |instance: &Instance, born_ms| Host {
         id: instance.name.clone(),
         dial: instance.addr,
@@ -40,10 +38,13 @@
         release: instance.release,
     };
     let mut hosts: Vec<Host> = old.iter().map(|instance| host(instance, 0)).collect();
-    hosts.extend(new.iter().map(|instance| host(instance, unix_ms() - 30_000)));
+    // The last wave has just begun: five nodes run since the earlier ones, five more start within 2 s.
+    hosts.extend(new[..5].iter().map(|instance| host(instance, unix_ms() - 30_000)));
     let discovery = Discovery::start(hosts);
-    let rollout = Rollout { version: 42, step: 2, status: "IN_PROGRESS", cap: 0.85, began: now_ms() };
-    let platform = Platform::start(rollout.clone());
+    let rollout = Rollout { version: 42, step: 3, status: "IN_PROGRESS", cap: 1.0, began: now_ms() };
+    let caps = [0.085, 0.34, 0.85, 1.0];
+    let single = Single { soak_over: f64::MAX, vote_life_ms: 4000.0, caps, told_after_ms: Vec::new() };
+    let platform = Platform::start_single(rollout.clone(), single);
     let gateway = Gateway::start(&Told {
         discovery: discovery.addr,
         platform: platform.addr,
@@ -61,36 +62,43 @@
     }
     let start = now_ms();
     note("the run begins");
+    // 1.5 s after the last node runs, a vote that stands releases the build.
+    platform.set_soak_over(start + 1900.0 + 1500.0);
     let mut rng = Rng(0x9e37_79b9_7f4a_7c15 ^ unix_ms());
     let mut plan = Vec::new();
-    let mut at = 0.0;
-    for pair in 0..BURST * BURSTS {
-        // The same applicant's booking attempt: two txns of one key, 25 ms apart.
-        let item = format!("attempt-{pair:x}-{:x}", rng.next() & 0xffff);
-        for part in 0..2u32 {
-            let ask = Ask {
-                id: format!("{:016x}", pair * 2 + u64::from(part) + 1),
-                class: if part == 0 { "applicant-save" } else { "book-slot" }.into(),
-                item: item.clone(),
-                tenant: "web-portal".into(),
-                d: if part == 0 { 2000 } else { 1200 },
-                insert: (part == 1).then(|| (format!("{:016x}", rng.next()), "9f03".to_string())),
-                hint: None,
-            };
-            plan.push((at + 25.0 * f64::from(part), Some(ask)));
+    let mut pair = 0;
+    for (begin, pairs) in BURSTS {
+        let mut at = begin;
+        for _ in 0..pairs {
+            // The same applicant's booking attempt: two txns of one key, 25 ms apart.
+            let item = format!("attempt-{pair:x}-{:x}", rng.next() & 0xffff);
+            for part in 0..2u32 {
+                let ask = Ask {
+                    id: format!("{:x}", pair * 2 + u64::from(part) + 1),
+                    class: if part == 0 { "applicant-save" } else { "book-slot" }.into(),
+                    item: item.clone(),
+                    tenant: "web-portal".into(),
+                    d: if part == 0 { 2000 } else { 1200 },
+                    insert: (part == 1).then(|| (format!("{:016x}", rng.next()), "9f03".to_string())),
+                    hint: None,
+                };
+                plan.push((at + 25.0 * f64::from(part), Event::Ask(ask)));
+            }
+            pair += 1;
+            at += 6.0 + 6.0 * rng.unit();
         }
-        at += if pair % BURST == BURST - 1 { QUIET_MS } else { 8.0 + 10.0 * rng.unit() };
     }
-    // The state is told again every 2 s.
-    let end = at - QUIET_MS;
-    plan.extend((1..).map(|n| 2000.0 * f64::from(n)).take_while(|due| *due < end).map(|due| (due, None)));
+    plan.push((2000.0, Event::Tell));
+    // Each new node is listed 0.8 s after it has started.
+    plan.extend((5..10).map(|n| (300.0 + 400.0 * (n - 5) as f64 + 800.0, Event::List(n))));
     plan.sort_by(|a, b| a.0.total_cmp(&b.0));
     let mut threads = Vec::new();
-    for (due, ask) in plan {
+    for (due, event) in plan {
         sleep_until(start + due);
-        match ask {
-            Some(ask) => threads.push(clients.spawn(ask)),
-            None => platform.tell(),
+        match event {
+            Event::Ask(ask) => threads.push(clients.spawn(ask)),
+            Event::Tell => platform.tell(),
+            Event::List(n) => discovery.publish(vec![host(&new[n], unix_ms() - 800)]),
         }
     }
     threads.into_iter().for_each(|thread| drop(thread.join()));
@@ -141,6 +149,12 @@
     Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
 }
 
+enum Event {
+    Ask(Ask),
+    Tell,
+    List(usize),
+}
+
 fn main() {
-    run_case(90_000.0, run);
+    run_case(60_000.0, run);
 }
--- a/review/standins-2/src/bin/memory_limit.rs
+++ b/review/standins-2/src/bin/memory_limit.rs
@@ -109,7 +109,7 @@
             ("sample-loan", 3000, true)
         };
         let ask = Ask {
-            id: format!("{number:016x}"),
+            id: format!("{number:x}"),
             class: class.into(),
             item: format!("box-{:x}", rng.next()),
             tenant: "consultants".into(),
--- a/review/standins-2/src/bin/second_answers.rs
+++ b/review/standins-2/src/bin/second_answers.rs
@@ -96,7 +96,7 @@
             ("take-payment", 4000, true)
         };
         threads.push(clients.spawn(Ask {
-            id: format!("{number:016x}"),
+            id: format!("{number:x}"),
             class: class.into(),
             item: format!("p{:x}", rng.next() & 0xffff_ffff),
             tenant: "swan-coast".into(),
--- a/review/standins-2/src/bin/stale_rollout.rs
+++ b/review/standins-2/src/bin/stale_rollout.rs
@@ -4,7 +4,7 @@
 use review_standins_2::discovery::{Discovery, Host};
 use review_standins_2::gateway::{Gateway, SIGCONT, SIGSTOP, Told};
 use review_standins_2::instance::{Arrivals, Behavior, Instance};
-use review_standins_2::platform::{Platform, Rollout};
+use review_standins_2::platform::{Platform, Rollout, Single};
 use review_standins_2::record::{self, note};
 use review_standins_2::{Rng, Verdict, has_trouble, now_ms, record_traffic, run_case, settings, sleep_until, unix_ms};
 use std::sync::Mutex;
@@ -44,11 +44,19 @@
         release: instance.release,
     };
     let mut hosts: Vec<Host> = old.iter().map(|instance| host(instance, 0)).collect();
-    hosts.extend(new.iter().map(|instance| host(instance, unix_ms() - 30_000)));
+    // The last node of the wave is not there yet: it starts 2.4 s after the run begins, and is listed 0.7 s later.
+    hosts.extend(new[..4].iter().map(|instance| host(instance, unix_ms() - 30_000)));
     let discovery = Discovery::start(hosts);
     let on_trial = |step, cap, began| Rollout { version: 42, step, status: "IN_PROGRESS", cap, began };
     let first = on_trial(2, 0.85, now_ms());
-    let platform = Platform::start(first.clone());
+    // One vote moves a wave on or takes the release off. The wave moves on 200 ms before it is told, the release is taken off 700 ms before.
+    let single = Single {
+        soak_over: f64::MAX,
+        vote_life_ms: 4000.0,
+        caps: [0.085, 0.34, 0.85, 1.0],
+        told_after_ms: vec![200.0, 700.0],
+    };
+    let platform = Platform::start_single(first.clone(), single);
     let gateway = Gateway::start(&Told {
         discovery: discovery.addr,
         platform: platform.addr,
@@ -67,13 +75,14 @@
     let start = now_ms();
     let at = |ms: f64| start + ms;
     note("the run begins");
+    // The wave has run for 1.5 s once its last node runs, and moves on by the votes that stand then.
+    platform.set_soak_over(at(2400.0 + 1550.0));
 
     // The events of the platform, the list and the disruption, in order.
     let mut events: Vec<(f64, Event)> = vec![
-        (3950.0, Event::Change(on_trial(3, 1.0, at(3950.0)))),
-        (4150.0, Event::Tell),
-        (4450.0, Event::Change(Rollout { version: 42, step: 3, status: "ROLLING_BACK", cap: 0.0, began: at(4450.0) })),
-        (5150.0, Event::Tell),
+        (3000.0, Event::Vote("approve")),
+        (3100.0, Event::ListLast),
+        (4450.0, Event::Vote("reject")),
         (7150.0, Event::Tell),
         (9150.0, Event::Tell),
         (11_150.0, Event::Tell),
@@ -96,7 +105,8 @@
         let elapsed = now_ms() - start;
         while events.first().is_some_and(|(due, _)| *due <= elapsed) {
             match events.remove(0).1 {
-                Event::Change(rollout) => platform.change(rollout),
+                Event::Vote(verdict) => platform.vote_by_another(verdict),
+                Event::ListLast => discovery.publish(vec![host(&new[4], unix_ms() - 700)]),
                 Event::Tell => platform.tell(),
                 Event::Drain => {
                     note("platform: the hosts of build 42 drain");
@@ -133,7 +143,7 @@
             let item = format!("k{:x}", rng.next() & 0xffff_ffff);
             let insert = (class == "book-slot").then(|| (format!("{:016x}", rng.next()), "9f03".to_string()));
             threads.push(clients.spawn(Ask {
-                id: format!("{number:016x}"),
+                id: format!("{number:x}"),
                 class: class.into(),
                 item,
                 tenant: "web-portal".into(),
@@ -194,7 +204,8 @@
 }
 
 enum Event {
-    Change(Rollout),
+    Vote(&'static str),
+    ListLast,
     Tell,
     Drain,
     ListDrains,
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -98,16 +98,19 @@
 /// Records each query at the instances and each answer to the clients.
 pub fn record_traffic(arrivals: &[instance::Arrival], outcomes: &[client::Outcome]) {
     for arrival in arrivals {
-        let how = if arrival.is_turned_away { "turned away" } else { "taken" };
-        let line = format!("{}: query {} {} item {} {how}", arrival.instance, arrival.id, arrival.class, arrival.item);
+        let end = match (arrival.is_turned_away, arrival.served_at) {
+            (true, _) => "turned away".to_string(),
+            (false, Some(at)) => format!("answered at {at:.1}"),
+            (false, None) => "taken, not answered".to_string(),
+        };
+        let line = format!("{} gets {} {} item {}: {end}", arrival.instance, arrival.id, arrival.class, arrival.item);
         record::note_at(arrival.at, line);
     }
     for outcome in outcomes {
         let answer = match &outcome.answer {
-            client::Answer::Served(value) => format!("served: {}", String::from_utf8_lossy(&value[..value.len().min(60)])),
+            client::Answer::Served(value) => format!("served '{}'", String::from_utf8_lossy(&value[..value.len().min(40)])),
             other => format!("{other:?}"),
         };
-        record::note_at(outcome.sent_at, format!("client: sends {} {} item {}", outcome.id, outcome.class, outcome.item));
-        record::note_at(outcome.answered_at, format!("client: {} {answer}", outcome.id));
+        record::note_at(outcome.sent_at, format!("client sends {}: at {:.1} {answer}", outcome.id, outcome.answered_at));
     }
 }
