Attempts at an earlier version are not written once the canary has served their key

Cause: the rule on sticky keys was checked when the policy chose an endpoint. An attempt then waits for a connection, or for a socket that takes only a part of it, and record_sticky_key, which changes what the rule depends on, looked at no attempt that was already chosen.

Evidence: every such query in the record is the first of its pair, at a node with late connections, routed before the response to the second; without late connections there is none.

Change: when a success raises the version that a key requires, the policy returns Action::CancelUnwrittenAttempt for the attempts in flight with that key at earlier versions. The gateway ends those whose last byte is not written as not sent; they are routed again, to the canary. It happens in the batch that forwards the response, so no client has the response earlier, whatever the delay. The simulator's attempts are written as they are sent: the action has no line there and its output is unchanged.

Tests, each red without the fix: policy exposure::attempts_at_earlier_versions_are_not_written_once_the_canary_has_served_their_key (0 attempts cancelled), gateway upstream_pool::queued_request_goes_to_the_canary_once_that_has_served_its_key (53300 in place of a1).

--- a/crates/cli/tests/gateway/upstream_pool.rs
+++ b/crates/cli/tests/gateway/upstream_pool.rs
@@ -221,6 +221,37 @@
     assert_eq!(query_result(&client.read_response()), Ok("a1".to_string()));
 }
 
+/// A request that is queued for a connection to the earlier version was routed before the canary served its key; sent
+/// there afterwards, its key would return to the earlier version.
+#[test]
+fn queued_request_goes_to_the_canary_once_that_has_served_its_key() {
+    let (baseline, canary) =
+        (FakeServer::start(ServerBehavior::NeverHandshake), FakeServer::start(ServerBehavior::Succeed));
+    let gateway = Gateway::start_watching(&[&baseline], |config| {
+        use_long_timeouts(config);
+        config["settings"]["domain"]["no-return"] = json!(true);
+        config["settings"]["domain"]["caps"] = json!([1.0, 1.0]);
+    });
+    let mut queued = client_with_queued_request(&gateway, &baseline);
+    gateway.discovery.send_line(&endpoint_list(9, false, &[host("s1", canary.addr, "up", 2)]));
+    let mut number = 1;
+    // All requests have the same key; those for the baseline are queued behind the first one.
+    let mut others = Vec::new();
+    while canary.queries().is_empty() {
+        number += 1;
+        let mut client = gateway.client();
+        client.send(&query(&insert(&format!("a{number}"), "pay", 15_000)));
+        others.push(client);
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(query_result(&queued.read_response()), Ok("a1".to_string()));
+    baseline.set_behavior(ServerBehavior::Succeed);
+    for client in &mut others {
+        assert!(query_result(&client.read_response()).is_ok());
+    }
+    assert_eq!((baseline.queries().len(), canary.queries().len()), (0, number));
+}
+
 /// After a suspension, the end of a handshake and the update that replaces its endpoint are both pending: the update
 /// applies first.
 #[test]
--- a/crates/gateway/src/gateway/event_loop.rs
+++ b/crates/gateway/src/gateway/event_loop.rs
@@ -148,6 +148,11 @@
                 );
                 self.next_events.append(&mut events);
             }
+            Action::CancelUnwrittenAttempt { id, attempt } => {
+                let mut events = Vec::new();
+                self.cancel_unwritten(UpstreamCall::Attempt { id, attempt }, &mut events);
+                self.next_events.append(&mut events);
+            }
             Action::SetTimer { after, token } => self.set_policy_timer(after, token),
             // The current policy requests neither health checks nor single fetches.
             Action::HealthCheck { endpoint } => self.check_health(&endpoint),
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -104,6 +104,15 @@
         /// The position of the attempt among those of the request, from 0.
         attempt: u32,
     },
+    /// Cancel an attempt in flight if its last byte was not written yet: a rule now forbids it. It then completes with
+    /// [`AttemptOutcome::NotSent`]. An attempt that was written completely continues. Needs no permission to cancel
+    /// attempts, since the endpoint has not begun.
+    CancelUnwrittenAttempt {
+        /// The id from the request's [`IncomingRequest`](crate::IncomingRequest).
+        id: RequestId,
+        /// The position of the attempt among those of the request, from 0.
+        attempt: u32,
+    },
     /// Set a timer that fires once.
     SetTimer {
         /// Time from the action until the timer fires.
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -259,13 +259,18 @@
     }
 
     /// Updates the typical latency of the class of a successful request, and the version of its sticky key; `elapsed`:
-    /// the latency, `weight`: its weight in the running mean.
+    /// the latency, `weight`: its weight in the running mean. Attempts with that key at earlier versions must not be
+    /// written any more.
     pub(crate) fn record_success(&mut self, id: RequestId, version: Version, elapsed: Millis, weight: f64) {
         let request = &self.requests.requests[&id];
         let typical = &mut self.requests.typical_latency[request.class];
         *typical += weight * (elapsed - *typical);
-        if let Some(key) = &request.sticky_key {
-            self.exposure.record_sticky_key(key, version, self.registry.lowest_version);
+        let Some(key) = &request.sticky_key else { return };
+        if self.exposure.record_sticky_key(key, version, self.registry.lowest_version) {
+            let outdated = self.requests.in_flight_below(key, version).into_iter();
+            self.actions.extend(
+                outdated.map(|(id, number)| Action::CancelUnwrittenAttempt { id, attempt: number as u32 }),
+            );
         }
     }
 
--- a/crates/policy/src/state/exposure.rs
+++ b/crates/policy/src/state/exposure.rs
@@ -96,14 +96,20 @@
 
     /// Records that `version` has served a request with a sticky key, which then goes to no earlier version until
     /// `version` is rolled back. `lowest_version` is the lowest among the ready endpoints and needs no record.
-    pub fn record_sticky_key(&mut self, key: &str, version: Version, lowest_version: Version) {
+    ///
+    /// Returns `true` if the key could go to an earlier version before.
+    pub fn record_sticky_key(&mut self, key: &str, version: Version, lowest_version: Version) -> bool {
         let is_serving = self.rollout.is_none_or(|rollout| {
             if is_serving(&rollout) { version >= rollout.version } else { version > rollout.version }
         });
-        if self.config.sticky_keys && version > lowest_version && is_serving {
-            let sticky = self.sticky_versions.entry(key.to_string()).or_insert(version);
-            *sticky = version.max(*sticky);
+        if !self.config.sticky_keys || version <= lowest_version || !is_serving {
+            return false;
         }
+        if self.sticky_versions.get(key).is_some_and(|sticky| version <= *sticky) {
+            return false;
+        }
+        self.sticky_versions.insert(key.to_string(), version);
+        true
     }
 
     /// Applies a state of the rollout that the platform reported. Sticky keys of versions that are rolled back may go
--- a/crates/policy/src/state/requests.rs
+++ b/crates/policy/src/state/requests.rs
@@ -293,6 +293,21 @@
         self.requests.get_mut(&id)?.attempts.get_mut(attempt)
     }
 
+    /// The attempts in flight at versions below `version`, at requests with this sticky key: each as the id of its request
+    /// and its number.
+    #[must_use]
+    pub fn in_flight_below(&self, key: &str, version: Version) -> Vec<(RequestId, usize)> {
+        let has_key = |request: &Request| request.sticky_key.as_deref() == Some(key);
+        let is_below = |attempt: &Attempt| attempt.outcome.is_none() && attempt.version < version;
+        let with_key = self.requests.iter().filter(|(_, request)| has_key(request));
+        with_key
+            .flat_map(|(id, request)| {
+                let attempts = request.attempts.iter().enumerate();
+                attempts.filter(|(_, attempt)| is_below(attempt)).map(|(number, _)| (*id, number))
+            })
+            .collect()
+    }
+
     /// Removes a request, unless it is pending or has attempts in flight.
     pub fn remove_if_finished(&mut self, id: RequestId) {
         let is_finished = |request: &Request| request.is_closed && request.attempts_in_flight() == 0;
--- a/crates/policy/tests/policy/exposure.rs
+++ b/crates/policy/tests/policy/exposure.rs
@@ -1,7 +1,7 @@
 //! Limits on the attempts at canaries: traffic caps, closed stages and sticky keys.
 
 use crate::support::{SentAttempt, TestConfig, class, succeed, with_canary};
-use latchhaven_policy::{DedupScope, Idempotency, Millis, RequestId, RolloutPhase, Version};
+use latchhaven_policy::{AttemptOutcome, DedupScope, Idempotency, Millis, RequestId, RolloutPhase, Version};
 use rstest::rstest;
 
 #[rstest]
@@ -80,6 +80,50 @@
     assert!(gateway.sent.iter().all(|sent| sent.version == Version(1)));
 }
 
+/// A request that waits for a connection was routed before the canary served its key; written afterwards, the key would
+/// return to the earlier version.
+#[rstest]
+#[case::late_connections(200.0)]
+#[case::later_connections(450.0)]
+fn attempts_at_earlier_versions_are_not_written_once_the_canary_has_served_their_key(
+    #[case] write_delay: Millis,
+) {
+    let mut config = TestConfig::default();
+    config.exposure.sticky_keys = true;
+    config.classes[0].latency_objective = 2000.0;
+    let slow_at_baseline = move |sent: &SentAttempt| {
+        (AttemptOutcome::Success, if sent.version == Version(2) { 50.0 } else { write_delay + 50.0 })
+    };
+    let mut gateway = with_canary(config, 2, 1.0, slow_at_baseline);
+    // Until the canary is fully warmed up.
+    gateway.run_for(4000.0);
+    gateway.write_delay = write_delay;
+    let mut pairs = Vec::new();
+    for number in 0..60 {
+        let key = format!("k{number}");
+        let first = gateway.request("look", Some(&key));
+        gateway.run_for(20.0);
+        pairs.push([first, gateway.request("look", Some(&key))]);
+        gateway.run_for(40.0);
+    }
+    gateway.run_for(1000.0);
+    assert!(gateway.unwritten.len() >= 5, "{} attempts were cancelled", gateway.unwritten.len());
+    for pair in pairs {
+        for id in pair {
+            assert!(gateway.succeeded.contains_key(&id), "{id:?}: {:?}", gateway.unserved.get(&id));
+        }
+        let of_pair = || gateway.sent.iter().filter(|sent| pair.contains(&sent.id));
+        let served_at = of_pair()
+            .filter(|sent| sent.version == Version(2))
+            .map(|sent| gateway.succeeded[&sent.id])
+            .min_by(f64::total_cmp);
+        let is_written = |sent: &&SentAttempt| !gateway.unwritten.contains(&(sent.id, sent.number));
+        for sent in of_pair().filter(|sent| sent.version == Version(1)).filter(is_written) {
+            assert!(served_at.is_none_or(|served_at| sent.sent_at + write_delay <= served_at));
+        }
+    }
+}
+
 #[rstest]
 fn sticky_key_stays_with_canary_until_rollback() {
     let mut config = TestConfig::default();
--- a/crates/policy/tests/policy/support/mod.rs
+++ b/crates/policy/tests/policy/support/mod.rs
@@ -53,6 +53,8 @@
     /// How long each request is queued on its connection before the policy receives it.
     pub(crate) queued_for: Millis,
     pub(crate) behavior: Behavior,
+    /// Time from the action that sends an attempt until it is written, for example behind a new connection.
+    pub(crate) write_delay: Millis,
     /// When the connections to all endpoints were established; `None` if unknown.
     pub(crate) connected_at: Option<Millis>,
     listed: BTreeMap<String, EndpointEntry>,
@@ -60,6 +62,8 @@
     deadlines: BTreeMap<RequestId, Millis>,
     events: Vec<Event>,
     pub(crate) sent: Vec<SentAttempt>,
+    /// The attempts that were cancelled before they were written: the id of the request and the number.
+    pub(crate) unwritten: Vec<(RequestId, u32)>,
     /// Rejections and failures of each request with their time; a correct policy returns at most one.
     pub(crate) unserved: BTreeMap<RequestId, Vec<(Millis, Action)>>,
     /// When each request that succeeded got its result.
@@ -77,12 +81,14 @@
             now: READY_AT - STARTUP_TIME - STEP,
             queued_for: 0.0,
             behavior: Box::new(succeed),
+            write_delay: 0.0,
             connected_at: None,
             listed: BTreeMap::new(),
             scheduled: Vec::new(),
             deadlines: BTreeMap::new(),
             events: Vec::new(),
             sent: Vec::new(),
+            unwritten: Vec::new(),
             unserved: BTreeMap::new(),
             succeeded: BTreeMap::new(),
             actions: Vec::new(),
@@ -241,13 +247,14 @@
     fn perform(&mut self, action: &Action) {
         match action {
             Action::SendAttempt { id, endpoint, .. } => self.send(*id, endpoint),
-            Action::CancelAttempt { id, attempt } => {
-                let is_cancelled = |sent: &SentAttempt| sent.id == *id && sent.number == *attempt;
-                if let Some(found) =
-                    self.scheduled.iter_mut().find(|scheduled| is_cancelled(&scheduled.attempt))
-                {
-                    found.completes_at = self.now + STEP;
-                    found.outcome = AttemptOutcome::Cancelled;
+            Action::CancelAttempt { id, attempt } => self.cancel(*id, *attempt, AttemptOutcome::Cancelled),
+            Action::CancelUnwrittenAttempt { id, attempt } => {
+                let is_unwritten = |sent: &SentAttempt| {
+                    sent.id == *id && sent.number == *attempt && self.now < sent.sent_at + self.write_delay
+                };
+                if self.sent.iter().any(is_unwritten) {
+                    self.unwritten.push((*id, *attempt));
+                    self.cancel(*id, *attempt, AttemptOutcome::NotSent);
                 }
             }
             Action::Reject { id, .. } | Action::Fail { id, .. } => {
@@ -257,6 +264,15 @@
         }
     }
 
+    /// Ends an attempt in flight with `outcome` in the next batch.
+    fn cancel(&mut self, id: RequestId, number: u32, outcome: AttemptOutcome) {
+        let is_cancelled = |sent: &SentAttempt| sent.id == id && sent.number == number;
+        if let Some(found) = self.scheduled.iter_mut().find(|scheduled| is_cancelled(&scheduled.attempt)) {
+            found.completes_at = self.now + STEP;
+            found.outcome = outcome;
+        }
+    }
+
     fn send(&mut self, id: RequestId, endpoint: &str) {
         let entry = &self.listed[endpoint];
         let attempt = SentAttempt {
--- a/crates/simulator-protocol/src/actions.rs
+++ b/crates/simulator-protocol/src/actions.rs
@@ -4,7 +4,14 @@
 use latchhaven_policy::{Action, Millis, Verdict};
 use std::io::{self, Write};
 
-/// Writes one action as one line. The caller has written the line that names the instance.
+/// Whether an action is written as a line. The simulator's attempts are written as soon as they are sent, so that there
+/// is nothing to cancel before.
+#[must_use]
+pub fn has_line(action: &Action) -> bool {
+    !matches!(action, Action::CancelUnwrittenAttempt { .. })
+}
+
+/// Writes one action as one line, or nothing if it has none ([`has_line`]). The caller has written the line that names the instance.
 ///
 /// # Errors
 /// Writing to `out` failed.
@@ -23,6 +30,7 @@
         Action::Reject { id, retry_after: None, .. } => writeln!(out, "DENY handle={id}"),
         Action::Fail { id, .. } => writeln!(out, "FAIL handle={id}"),
         Action::CancelAttempt { id, attempt } => writeln!(out, "ABANDON handle={id} go={attempt}"),
+        Action::CancelUnwrittenAttempt { .. } => Ok(()),
         Action::SetTimer { after, token } => {
             writeln!(out, "WAKE_ME delay-s={} handle={token}", seconds(*after))
         }
--- a/crates/simulator-protocol/src/host.rs
+++ b/crates/simulator-protocol/src/host.rs
@@ -1,6 +1,6 @@
 //! Runs many policy instances on one stream of simulator messages, which are grouped into batches by time.
 
-use crate::actions::write_action;
+use crate::actions::{has_line, write_action};
 use crate::error::{HostError, ProtocolError};
 use crate::fields::Fields;
 use crate::messages::{Message, parse_endpoint_entry, parse_message};
@@ -217,7 +217,7 @@
 }
 
 fn write_actions(instance: &str, actions: &[Action], output: &mut impl Write) -> io::Result<()> {
-    if actions.is_empty() {
+    if !actions.iter().any(has_line) {
         return Ok(());
     }
     writeln!(output, "CONTEXT i={instance}")?;
--- a/crates/simulator-protocol/tests/lines.rs
+++ b/crates/simulator-protocol/tests/lines.rs
@@ -1,7 +1,7 @@
 //! Valid and malformed lines of the simulator.
 
 use latchhaven_policy::*;
-use latchhaven_simulator_protocol::actions::write_action;
+use latchhaven_simulator_protocol::actions::{has_line, write_action};
 use latchhaven_simulator_protocol::fields::Fields;
 use latchhaven_simulator_protocol::messages::{Message, parse_endpoint_entry, parse_message};
 use latchhaven_simulator_protocol::{InstanceHost, settings};
@@ -80,6 +80,15 @@
     assert_eq!(String::from_utf8(out).expect("text"), format!("{line}\n"));
 }
 
+/// The simulator's attempts are written as soon as they are sent: there is no line to cancel them before.
+#[test]
+fn cancellation_of_unwritten_attempt_has_no_line() {
+    let action = Action::CancelUnwrittenAttempt { id: RequestId(7), attempt: 2 };
+    let mut out = Vec::new();
+    write_action(&action, &mut out).expect("written");
+    assert!(out.is_empty() && !has_line(&action));
+}
+
 #[rstest]
 #[case("instance=a:1 state=cordoned build=4", Ok((EndpointStatus::Draining, 0.0)))]
 #[case("instance=a:1 state=healthy build=4 online-since-s=6.1", Ok((EndpointStatus::Ready, 6100.0)))]
