Pending large requests count against the memory limit and take half of their size

Causes: memory was reserved for a large message only until its last byte. Afterwards its text (two digits a byte) stayed until the response, and the connection's read buffer and the slice that is the request's id shared that memory even longer. Each read also left 16 KiB of spare capacity to the connection or to the small statement it was parsed from. Only the number of connections bounded all that.

Evidence: memory is proportional to the open requests, 150 KiB each. Two tests take the parts asunder: 245 pending requests (35.6 MB before) and 245 connections without a pending request (35.3 MB before), both red before and green now.

Change: a statement retains its part of the reservation until the final response. Ids are copies, empty buffers are released, reads go through one shared buffer. The budget is half of memory_mb, and less where the process and the read-ahead of all connections leave less; it was a quarter, for incomplete messages alone. The test of that formula is replaced by one with four cases in place of two.

--- a/crates/cli/tests/gateway/large_messages.rs
+++ b/crates/cli/tests/gateway/large_messages.rs
@@ -23,6 +23,9 @@
 const VALUE_BYTES: usize = 10_000;
 /// Interval at which a slow client sends one byte more.
 const SLOW_CLIENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Clients that wait for the response to a request of maximum length at the same time, and the memory limit of their gateway.
+const PENDING_CLIENTS: usize = 245;
+const PENDING_MEMORY_MB: u32 = 32;
 /// Responses of which only a part is sent: as many as may be buffered at the same time.
 const STOPPED_RESPONSES: usize = 12;
 
@@ -93,6 +96,45 @@
     }
 }
 
+/// Guards against pending requests that together exceed the memory limit, for which the gateway would be killed.
+#[test]
+fn many_pending_large_requests_stay_within_the_memory_limit() {
+    let server = FakeServer::start(ServerBehavior::NeverHandshake);
+    let gateway = gateway_with_memory(&server, PENDING_MEMORY_MB);
+    let mut clients = Vec::new();
+    for number in 0..PENDING_CLIENTS {
+        let mut client = gateway.client();
+        client.send(&query(&insert_large(&format!("a{number}"), "book", 15_000, STOPPED_VALUE_BYTES)));
+        clients.push(client);
+    }
+    wait_until("all requests are pending", || gateway.counter("requests_total") as usize == PENDING_CLIENTS);
+    let memory = gateway.memory_bytes();
+    assert!(memory < (PENDING_MEMORY_MB as usize) << 20, "{memory} bytes");
+    server.set_behavior(ServerBehavior::Succeed);
+    for (number, client) in clients.iter_mut().enumerate() {
+        assert_eq!(query_result(&client.read_response()), Ok(format!("a{number}")));
+    }
+    // Endpoints get each value as its client has sent it.
+    let digits = "5a".repeat(STOPPED_VALUE_BYTES);
+    assert!(server.queries().iter().all(|query| query.text.contains(&digits)));
+}
+
+/// Guards against connections that retain the memory of a large request after its response.
+#[test]
+fn idle_connections_keep_no_memory_of_large_requests() {
+    let server = FakeServer::start(ServerBehavior::Succeed);
+    let gateway = gateway_with_memory(&server, PENDING_MEMORY_MB);
+    let mut clients = Vec::new();
+    for number in 0..PENDING_CLIENTS {
+        let mut client = gateway.client();
+        let request = insert_large(&format!("a{number}"), "book", 15_000, STOPPED_VALUE_BYTES);
+        assert_eq!(query_result(&client.query(&request)), Ok(format!("a{number}")));
+        clients.push(client);
+    }
+    let memory = gateway.memory_bytes();
+    assert!(memory < (PENDING_MEMORY_MB as usize) << 19, "{memory} bytes");
+}
+
 /// Guards against responses with the longest valid value that wait for endpoints which stopped in longer ones.
 #[test]
 fn endpoints_that_stop_in_a_large_response_do_not_hold_back_others() {
--- a/crates/gateway/src/gateway/request_table.rs
+++ b/crates/gateway/src/gateway/request_table.rs
@@ -16,7 +16,8 @@
 
 /// A request that is pending or has an attempt without an outcome.
 pub(super) struct RequestEntry {
-    pub(super) statement: Rc<Statement>,
+    /// `None` once the request has its final response: it is not sent any more, and its memory is released.
+    pub(super) statement: Option<Rc<Statement>>,
     pub(super) deadline: Millis,
     /// `None` if the request is not pending, because the final response was sent or the client disconnected.
     pub(super) response_sender: Option<oneshot::Sender<FinalResponse>>,
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -39,7 +39,7 @@
             is_write: statement.is_write,
         }));
         let request = RequestEntry {
-            statement,
+            statement: Some(statement),
             deadline,
             response_sender: Some(response_sender),
             attempts: Vec::new(),
@@ -92,6 +92,9 @@
             self.cancel_unwritten(UpstreamCall::Attempt { id, attempt }, &mut events);
         }
         self.next_events.append(&mut events);
+        if let Some(request) = self.requests.get_mut(id) {
+            request.statement = None;
+        }
         self.requests.remove_if_finished(id);
     }
 }
--- a/crates/gateway/src/gateway/upstream_calls.rs
+++ b/crates/gateway/src/gateway/upstream_calls.rs
@@ -34,7 +34,7 @@
         let is_needed = request.response_sender.is_some() && deadline > now;
         let queued = QueuedCall {
             call,
-            statement: Some(request.statement.clone()),
+            statement: request.statement.clone(),
             deadline,
             write_deadline: write_by.map(|at| self.clock.instant(at)),
         };
--- a/crates/gateway/src/limits/clients.rs
+++ b/crates/gateway/src/limits/clients.rs
@@ -10,9 +10,11 @@
 pub const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Unit in which memory for large messages is reserved.
 pub const MEMORY_UNIT_BYTES: usize = 1024;
-/// Messages above [`MAX_READ_AHEAD_BYTES`] may occupy this part of the memory limit until they are complete: one in so
-/// many bytes.
-const LARGE_MESSAGE_MEMORY_DIVISOR: usize = 4;
+/// Messages above [`MAX_READ_AHEAD_BYTES`] may occupy this part of the memory limit until their requests have a response:
+/// one in so many bytes.
+const LARGE_MESSAGE_MEMORY_DIVISOR: usize = 2;
+/// Memory in bytes that is left to the process: its program, the endpoint list and the policy.
+const PROCESS_MEMORY_BYTES: usize = 8 * 1024 * 1024;
 /// Minimum number of messages of maximum length that may be read at the same time, whatever the memory limit is.
 const MIN_LARGE_MESSAGES: usize = 24;
 /// Maximum time for which a client reserves memory for a large message while others wait for memory. A message of maximum
@@ -58,11 +60,14 @@
 /// longer than this is treated as if it had arrived at the start of the write, so that no deadline is too late.
 pub const SLOW_WRITE_THRESHOLD: Duration = Duration::from_millis(20);
 
-/// Returns the memory in bytes for large messages that are not complete yet, for a process with this memory limit in
-/// bytes.
+/// Returns the memory in bytes for large messages and the requests that they contain, for a process with this memory
+/// limit in bytes and this limit of client connections, each of which may have a read-ahead beside.
 #[must_use]
-pub fn large_message_memory(memory_limit: usize) -> usize {
-    (memory_limit / LARGE_MESSAGE_MEMORY_DIVISOR).max(MIN_LARGE_MESSAGES * MAX_CLIENT_MESSAGE_BYTES)
+pub fn large_message_memory(memory_limit: usize, max_sessions: usize) -> usize {
+    let other = PROCESS_MEMORY_BYTES + max_sessions * MAX_READ_AHEAD_BYTES;
+    (memory_limit / LARGE_MESSAGE_MEMORY_DIVISOR)
+        .min(memory_limit.saturating_sub(other))
+        .max(MIN_LARGE_MESSAGES * MAX_CLIENT_MESSAGE_BYTES)
 }
 
 /// State of a client connection, by which the eviction rule orders connections.
--- a/crates/gateway/src/net/clients/large_messages.rs
+++ b/crates/gateway/src/net/clients/large_messages.rs
@@ -1,11 +1,13 @@
-//! The memory for large messages that are not complete yet, shared by all clients.
+//! The memory for large messages, shared by all clients: from their arrival until their request needs them no more.
 //!
 //! Problem: the memory is limited, and a client may stop within a large message and stay, or send the rest slowly. It
-//! must not deprive the others of it, whose requests have a deadline.
+//! must not deprive the others of it, whose requests have a deadline. A complete message stays in memory while its request
+//! is pending, so that many requests together could exceed the limit.
 //!
 //! Method: a client reserves memory for its complete message before more than the read-ahead is read, in the order of
 //! arrival. While others wait, a client has a bounded time for its message and is preempted after that; without
-//! others, only the timeout of a message applies. No client waits longer than a bounded time either.
+//! others, only the timeout of a message applies. The statement of a complete message retains the part of the reservation
+//! that it occupies. No client waits longer than a bounded time either.
 
 use crate::counters::COUNTERS;
 use crate::limits::clients::{LARGE_MESSAGE_TIME, LARGE_MESSAGE_WAIT, MEMORY_UNIT_BYTES};
@@ -13,14 +15,15 @@
 use std::collections::BTreeMap;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::select;
-use tokio::sync::{Notify, Semaphore, SemaphorePermit};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// The memory for large messages, and who has reserved a part of it.
 pub(super) struct LargeMessages {
     /// Free memory, in units of [`MEMORY_UNIT_BYTES`].
-    free: Semaphore,
+    free: Arc<Semaphore>,
     units: u32,
     /// The reservations, in the order in which they were made.
     reservations: RefCell<BTreeMap<u64, Rc<Reservation>>>,
@@ -34,12 +37,24 @@
     preempted: Notify,
 }
 
-/// Memory for one message. Released when dropped.
+/// Memory for one message that is not complete yet. Released when dropped.
 pub(super) struct MessageMemory<'a> {
     messages: &'a LargeMessages,
     number: u64,
     reservation: Rc<Reservation>,
-    _units: SemaphorePermit<'a>,
+    units: Option<OwnedSemaphorePermit>,
+}
+
+/// Memory for one complete message, or for what is stored of it. Released when dropped.
+pub(super) struct OwnedMemory(OwnedSemaphorePermit);
+
+impl OwnedMemory {
+    /// Releases all but this number of bytes.
+    pub(super) fn shrink_to(mut self, bytes: usize) -> Self {
+        let excess = self.0.num_permits().saturating_sub(bytes.div_ceil(MEMORY_UNIT_BYTES));
+        drop(self.0.split(excess));
+        self
+    }
 }
 
 impl LargeMessages {
@@ -47,7 +62,7 @@
     pub(super) fn new(bytes: usize) -> Self {
         let units = u32::try_from(bytes / MEMORY_UNIT_BYTES).unwrap_or(u32::MAX);
         LargeMessages {
-            free: Semaphore::new(units as usize),
+            free: Arc::new(Semaphore::new(units as usize)),
             units,
             reservations: RefCell::default(),
             next_number: Cell::new(0),
@@ -56,7 +71,7 @@
 
     /// Reserves memory for a message of this length if it is available and no other client waits.
     pub(super) fn try_reserve(&self, length: usize) -> Option<MessageMemory<'_>> {
-        let units = self.free.try_acquire_many(self.units_for(length)).ok()?;
+        let units = self.free.clone().try_acquire_many_owned(self.units_for(length)).ok()?;
         Some(self.add_reservation(units))
     }
 
@@ -68,7 +83,7 @@
     }
 
     async fn reserve_by_preemption(&self, length: usize) -> Option<MessageMemory<'_>> {
-        let mut acquiring = pin!(self.free.acquire_many(self.units_for(length)));
+        let mut acquiring = pin!(self.free.clone().acquire_many_owned(self.units_for(length)));
         loop {
             select! {
                 biased;
@@ -83,7 +98,7 @@
         units.min(self.units)
     }
 
-    fn add_reservation<'a>(&'a self, units: SemaphorePermit<'a>) -> MessageMemory<'a> {
+    fn add_reservation(&self, units: OwnedSemaphorePermit) -> MessageMemory<'_> {
         let number = self.next_number.replace(self.next_number.get() + 1);
         let reservation = Rc::new(Reservation {
             began: Instant::now(),
@@ -91,7 +106,7 @@
             preempted: Notify::new(),
         });
         self.reservations.borrow_mut().insert(number, reservation.clone());
-        MessageMemory { messages: self, number, reservation, _units: units }
+        MessageMemory { messages: self, number, reservation, units: Some(units) }
     }
 
     /// When the oldest reservation that is not preempted has lasted for [`LARGE_MESSAGE_TIME`].
@@ -120,6 +135,11 @@
             self.reservation.preempted.notified().await;
         }
     }
+
+    /// The memory of the message, which is complete: it cannot be preempted any more.
+    pub(super) fn into_owned(mut self) -> Option<OwnedMemory> {
+        self.units.take().map(OwnedMemory)
+    }
 }
 
 impl Drop for MessageMemory<'_> {
--- a/crates/gateway/src/net/clients/mod.rs
+++ b/crates/gateway/src/net/clients/mod.rs
@@ -63,7 +63,7 @@
     /// Limit of connections, derived from the descriptors that the process may open. A connection above the limit
     /// evicts another one or is rejected with an error.
     pub max_sessions: usize,
-    /// Memory in bytes for large messages that are not complete yet.
+    /// Memory in bytes for large messages, until their requests have a response.
     pub large_message_memory: usize,
     /// The configured classes. A query with another class is invalid; the longest timeout determines the shutdown.
     pub classes: Vec<RequestClass>,
--- a/crates/gateway/src/net/clients/read_buffer.rs
+++ b/crates/gateway/src/net/clients/read_buffer.rs
@@ -1,5 +1,6 @@
 //! The input of a connection that was read and not yet parsed, and when it arrived.
 
+use super::large_messages::OwnedMemory;
 use crate::arrivals::ArrivalTimes;
 use crate::net::io::has_unread_bytes;
 use bytes::BytesMut;
@@ -15,6 +16,8 @@
     pub(super) unread_since: Option<Millis>,
     /// Set when input arrived while a request was pending: the client sends queries without waiting for responses.
     pub(super) is_pipelined: bool,
+    /// Memory for the large message that the buffer contains completely.
+    pub(super) large_message_memory: Option<OwnedMemory>,
 }
 
 impl ReadBuffer {
@@ -26,6 +29,13 @@
         self.unread_since = self.unread_since.filter(|_| has_unread_bytes(stream));
     }
 
+    /// Releases the memory that an empty buffer shares with the message that was removed from it.
+    pub(super) fn release_if_empty(&mut self) {
+        if self.bytes.is_empty() {
+            self.bytes = BytesMut::new();
+        }
+    }
+
     /// Records that bytes were removed from the buffer. Returns when the last of them arrived; `None` if no bytes were
     /// removed.
     pub(super) fn consume(&mut self) -> Option<Millis> {
--- a/crates/gateway/src/net/clients/reading.rs
+++ b/crates/gateway/src/net/clients/reading.rs
@@ -5,11 +5,10 @@
 use super::read_buffer::ReadBuffer;
 use super::session::{ReadOutcome, SessionTask};
 use super::shared_state::SharedSessionState;
-use crate::limits::MAX_READ_BYTES;
 use crate::limits::clients::{InputProgress, MAX_READ_AHEAD_BYTES};
 use crate::limits::shutdown::{CloseTime, WaitingConnection};
 use crate::net::io::has_unread_bytes;
-use crate::net::read_some;
+use crate::net::{read_some, read_up_to};
 use crate::proto::pg;
 use std::io;
 use tokio::net::TcpStream;
@@ -143,7 +142,11 @@
             memory = self.large_messages.reserve(message_length).await;
         }
         let Some(memory) = memory else { return Ok(MessageRead::OutOfMemory) };
-        read_large_message(stream, input, message_length, &memory).await
+        let read = read_large_message(stream, input, message_length, &memory).await;
+        if input.bytes.len() >= message_length {
+            input.large_message_memory = memory.into_owned();
+        }
+        read
     }
 }
 
@@ -153,11 +156,12 @@
 ) -> io::Result<MessageRead> {
     let buffered = input.bytes.len();
     // One allocation that no read has to enlarge.
-    input.bytes.reserve(message_length.saturating_sub(buffered) + MAX_READ_BYTES);
+    input.bytes.reserve(message_length.saturating_sub(buffered));
     while input.bytes.len() < message_length {
+        let missing = message_length - input.bytes.len();
         select! {
             biased;
-            read = read_some(stream, &mut input.bytes) => {
+            read = read_up_to(stream, &mut input.bytes, missing) => {
                 if read? == 0 {
                     return Ok(MessageRead::Bytes(0));
                 }
--- a/crates/gateway/src/net/clients/requests.rs
+++ b/crates/gateway/src/net/clients/requests.rs
@@ -2,6 +2,7 @@
 
 use super::Clients;
 use super::closing::wait_until_disconnected;
+use super::large_messages::OwnedMemory;
 use super::read_buffer::{ReadBuffer, record_unread};
 use super::session::SessionTask;
 use super::shared_state::SharedSessionState;
@@ -44,8 +45,11 @@
 }
 
 impl Clients {
-    /// Parses and validates the statement of a query, so that endpoints receive only valid ones.
-    pub(super) fn parse_query(&self, text: Bytes) -> Result<Rc<Statement>, QueryError> {
+    /// Parses and validates the statement of a query, so that endpoints receive only valid ones. `memory` is reserved for
+    /// the message; the statement of a large one retains the part that it occupies.
+    pub(super) fn parse_query(
+        &self, text: Bytes, memory: Option<OwnedMemory>,
+    ) -> Result<Rc<Statement>, QueryError> {
         let statement = Statement::parse(text)?;
         let class = self.classes.iter().find(|class| class.name == statement.class);
         let class = class.ok_or(QueryError::UnknownClass)?;
@@ -55,7 +59,10 @@
         if self.pending_ids.borrow().contains(&statement.id) {
             return Err(QueryError::DuplicateId);
         }
-        Ok(Rc::new(statement))
+        Ok(Rc::new(match memory {
+            Some(memory) => statement.pack(|bytes| memory.shrink_to(bytes)),
+            None => statement,
+        }))
     }
 
     /// Waits until the shutdown requires that a pending request is abandoned.
--- a/crates/gateway/src/net/clients/session.rs
+++ b/crates/gateway/src/net/clients/session.rs
@@ -89,6 +89,7 @@
                 }
             };
             let arrived_at = self.input.consume();
+            self.input.release_if_empty();
             self.track_message_start(message.is_some());
             let step = match message {
                 Some(message) => self.on_message(message, arrived_at).await?,
@@ -186,7 +187,8 @@
     }
 
     async fn on_query(&mut self, text: Bytes, arrived_at: Option<Millis>) -> io::Result<Step> {
-        let statement = match self.clients.parse_query(text) {
+        let memory = self.input.large_message_memory.take();
+        let statement = match self.clients.parse_query(text, memory) {
             Ok(statement) => statement,
             Err(error) => return self.on_invalid_query(error.sqlstate(), &error.to_string(), true).await,
         };
--- a/crates/gateway/src/net/io.rs
+++ b/crates/gateway/src/net/io.rs
@@ -1,8 +1,9 @@
 //! Reads and writes on non-blocking sockets, and queries of their state.
 
 use crate::limits::{MAX_BUFFERS_PER_WRITE, MAX_READ_BYTES};
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use socket2::SockRef;
+use std::cell::RefCell;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::task::{Context, Poll, Waker};
@@ -37,23 +38,35 @@
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
 }
 
-/// Waits for input and reads once into `buffer`, whose spare capacity is then at least [`MAX_READ_BYTES`]. Returns the
-/// number of bytes, or 0 if the peer has closed its side. Bytes that were read before a drop of the future are in
-/// `buffer`.
+thread_local! {
+    /// Receives the bytes of each read, so that the buffers of connections have no spare capacity for more.
+    static RECEIVED: RefCell<BytesMut> = RefCell::new(BytesMut::with_capacity(MAX_READ_BYTES));
+}
+
+/// Waits for input, reads once and appends up to [`MAX_READ_BYTES`] to `buffer`. Returns the number of bytes, or 0 if the
+/// peer has closed its side. Bytes that were read before a drop of the future are in `buffer`.
 ///
 /// # Errors
 /// The connection is lost.
 pub async fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
+    read_up_to(stream, buffer, MAX_READ_BYTES).await
+}
+
+/// As [`read_some`], up to `limit` bytes. Reads into the spare capacity of `buffer` if that is sufficient.
+///
+/// # Errors
+/// The connection is lost.
+pub async fn read_up_to(stream: &TcpStream, buffer: &mut BytesMut, limit: usize) -> io::Result<usize> {
+    let limit = limit.min(MAX_READ_BYTES);
     loop {
         stream.readable().await?;
         // Releases the memory of a large message.
         if buffer.is_empty() && buffer.capacity() > 2 * MAX_READ_BYTES {
             *buffer = BytesMut::new();
         }
-        buffer.reserve(MAX_READ_BYTES);
-        match stream.try_read_buf(buffer) {
+        match try_read(stream, buffer, limit) {
             Err(error) if is_retryable(&error) => {}
-            Ok(read) if read >= MAX_READ_BYTES => {
+            Ok(read) if read >= limit => {
                 // The socket of a peer that sends continuously is always ready: let other tasks run.
                 yield_now().await;
                 return Ok(read);
@@ -63,6 +76,18 @@
     }
 }
 
+fn try_read(stream: &TcpStream, buffer: &mut BytesMut, limit: usize) -> io::Result<usize> {
+    if buffer.capacity() - buffer.len() >= limit {
+        return stream.try_read_buf(&mut buffer.limit(limit));
+    }
+    RECEIVED.with_borrow_mut(|received| {
+        received.clear();
+        let read = stream.try_read_buf(&mut (&mut *received).limit(limit))?;
+        buffer.extend_from_slice(received);
+        Ok(read)
+    })
+}
+
 /// Writes all buffers, with up to [`MAX_BUFFERS_PER_WRITE`] of them in one system call.
 ///
 /// # Errors
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -18,7 +18,7 @@
 pub mod upstream;
 
 pub use crate::limits::MAX_PENDING_EVENTS;
-pub use io::{is_unusable, read_some, write_all};
+pub use io::{is_unusable, read_some, read_up_to, write_all};
 
 use crate::discovery::calls::CallId;
 use crate::proto::pg::Statement;
--- a/crates/gateway/src/net/upstream/connection.rs
+++ b/crates/gateway/src/net/upstream/connection.rs
@@ -1,7 +1,7 @@
 //! The state of a connection to an endpoint, shared by the pool and the connection's task.
 
 use super::call::UpstreamCall;
-use bytes::Bytes;
+use crate::proto::pg::encode::OutgoingQuery;
 use socket2::SockRef;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::net::Shutdown;
@@ -11,8 +11,8 @@
 use tokio::time::Instant;
 
 /// A query that the connection's task is to write.
-pub(super) struct OutgoingQuery {
-    pub(super) buffers: Vec<Bytes>,
+pub(super) struct AssignedQuery {
+    pub(super) query: OutgoingQuery,
     /// The last byte is written before this instant or never; `None` without a limit.
     pub(super) write_deadline: Option<Instant>,
 }
@@ -45,7 +45,7 @@
     /// When the connection became idle; of no meaning while a call is assigned.
     pub(super) idle_since: Cell<Instant>,
     /// The query of the assigned call, until the task takes it.
-    pub(super) outgoing: RefCell<Option<OutgoingQuery>>,
+    pub(super) outgoing: RefCell<Option<AssignedQuery>>,
     /// Wakes the task after `outgoing` or `is_closed` has changed.
     pub(super) wake: Notify,
 }
--- a/crates/gateway/src/net/upstream/connection_task.rs
+++ b/crates/gateway/src/net/upstream/connection_task.rs
@@ -1,7 +1,7 @@
 //! The task of a connection: opens it, carries one call after another, and reports their results to the event loop.
 
 use super::call::CallResult;
-use super::connection::{OutgoingQuery, UpstreamConnection};
+use super::connection::{AssignedQuery, UpstreamConnection};
 use super::exchange::{Exchange, NextStep, QueryChannel};
 use super::unsolicited::UnsolicitedBytes;
 use crate::clock::{duration, millis};
@@ -158,7 +158,7 @@
 
     /// Waits until the pool assigns a call. `None` if the connection is closed, receives unsolicited data or is idle
     /// for too long before that.
-    async fn next_query(&mut self, stream: &TcpStream) -> Option<OutgoingQuery> {
+    async fn next_query(&mut self, stream: &TcpStream) -> Option<AssignedQuery> {
         let idle_until = Instant::now() + idle_close_after(self.config.idle_timeout);
         let connection = self.connection.clone();
         while !connection.is_closed.get() {
--- a/crates/gateway/src/net/upstream/exchange.rs
+++ b/crates/gateway/src/net/upstream/exchange.rs
@@ -1,7 +1,7 @@
 //! One query on a connection and its response.
 
 use super::call::CallResult;
-use super::connection::{OutgoingQuery, UpstreamConnection};
+use super::connection::{AssignedQuery, UpstreamConnection};
 use super::unsolicited::UnsolicitedBytes;
 use crate::counters::COUNTERS;
 use crate::limits::upstream::LARGE_RESPONSE_BYTES;
@@ -115,7 +115,7 @@
     }
 
     /// Sends one query and reads the response. Not cancel safe: after a drop the connection has to be closed.
-    pub(super) async fn exchange(&mut self, stream: &TcpStream, query: OutgoingQuery) -> Exchange {
+    pub(super) async fn exchange(&mut self, stream: &TcpStream, query: AssignedQuery) -> Exchange {
         if let Err(outcome) = self.send_query(stream, query).await {
             return Exchange { result: CallResult::without_response(outcome), next: NextStep::Close };
         }
@@ -127,7 +127,7 @@
     }
 
     /// Writes a query. After an error, the last byte was not written, so the endpoint has not executed the query.
-    async fn send_query(&mut self, stream: &TcpStream, query: OutgoingQuery) -> Result<(), AttemptOutcome> {
+    async fn send_query(&mut self, stream: &TcpStream, query: AssignedQuery) -> Result<(), AttemptOutcome> {
         // Unsolicited data, or a close, arrived after the pool chose this connection.
         if self.has_unsolicited_bytes(stream) {
             self.unsolicited.record();
@@ -140,8 +140,14 @@
         if query.write_deadline.is_some_and(|write_deadline| Instant::now() >= write_deadline) {
             return Err(AttemptOutcome::NotSent);
         }
-        let writing = write_all(stream, &query.buffers);
-        let written = match query.write_deadline {
+        let AssignedQuery { query, write_deadline } = query;
+        let writing = async {
+            for buffers in query {
+                write_all(stream, &buffers).await?;
+            }
+            Ok(())
+        };
+        let written = match write_deadline {
             Some(write_deadline) => {
                 timeout_at(write_deadline, writing).await.unwrap_or_else(|late| Err(io::Error::from(late)))
             }
--- a/crates/gateway/src/net/upstream/pool.rs
+++ b/crates/gateway/src/net/upstream/pool.rs
@@ -1,7 +1,7 @@
 //! The pool of connections to endpoints.
 
 use super::call::{CancelResult, UpstreamCall};
-use super::connection::{OutgoingQuery, UpstreamConnection};
+use super::connection::{AssignedQuery, UpstreamConnection};
 use super::connection_task;
 use super::endpoint::UpstreamEndpoint;
 use super::unsolicited::UnsolicitedBytes;
@@ -277,14 +277,14 @@
         let previous = connection.call.replace(Some(queued.call));
         invariant!(previous.is_none(), "one call at a time on a connection");
         connection.is_written.set(false);
-        let buffers = match &queued.statement {
-            Some(statement) => pg::encode::forwarded_query(statement, queued.deadline - now).to_vec(),
+        let query = match &queued.statement {
+            Some(statement) => pg::encode::forwarded_query(statement, queued.deadline - now),
             None if self.config.load_reporting == LoadReporting::InHealthChecks => {
-                vec![pg::encode::query(LOAD_QUERY)]
+                pg::encode::query(LOAD_QUERY).into()
             }
-            None => vec![pg::encode::query(HEALTH_CHECK_QUERY)],
+            None => pg::encode::query(HEALTH_CHECK_QUERY).into(),
         };
-        connection.outgoing.replace(Some(OutgoingQuery { buffers, write_deadline: queued.write_deadline }));
+        connection.outgoing.replace(Some(AssignedQuery { query, write_deadline: queued.write_deadline }));
         connection.wake.notify_one();
         self.assigned.insert(queued.call, connection);
     }
--- a/crates/gateway/src/proto/pg/encode.rs
+++ b/crates/gateway/src/proto/pg/encode.rs
@@ -1,6 +1,7 @@
 //! Encodes messages to endpoints and clients.
 
 use super::framing::LENGTH_FIELD_BYTES;
+use super::packed_value::PackedValue;
 use super::statement::Statement;
 use bytes::{BufMut, Bytes, BytesMut};
 use latchhaven_policy::Millis;
@@ -38,19 +39,57 @@
     ("standard_conforming_strings", "on"),
 ];
 
-/// Encodes a statement as a simple query to an endpoint, in four buffers to be written one after another. The timeout
-/// in its comment is replaced by `timeout`, rounded down to full milliseconds, and at least 1.
+/// A query to an endpoint, as buffers to be written one after another: in as many groups as the iterator returns, of
+/// which one is in memory at a time.
+pub struct OutgoingQuery {
+    start: Option<Vec<Bytes>>,
+    packed_digits: Option<Box<dyn Iterator<Item = Bytes>>>,
+    end: Option<Vec<Bytes>>,
+}
+
+impl Iterator for OutgoingQuery {
+    type Item = Vec<Bytes>;
+
+    fn next(&mut self) -> Option<Vec<Bytes>> {
+        if let Some(start) = self.start.take() {
+            return Some(start);
+        }
+        let digits = self.packed_digits.as_mut().and_then(Iterator::next);
+        digits.map(|digits| vec![digits]).or_else(|| self.end.take())
+    }
+}
+
+impl From<Bytes> for OutgoingQuery {
+    fn from(message: Bytes) -> Self {
+        OutgoingQuery { start: Some(vec![message]), packed_digits: None, end: None }
+    }
+}
+
+/// Encodes a statement as a simple query to an endpoint. The timeout in its comment is replaced by `timeout`, rounded
+/// down to full milliseconds, and at least 1.
 #[must_use]
-pub fn forwarded_query(statement: &Statement, timeout: Millis) -> [Bytes; 4] {
+pub fn forwarded_query(statement: &Statement, timeout: Millis) -> OutgoingQuery {
     let digits = format!("{}", timeout.max(1.0).floor());
     let text = &statement.text;
     let replaced = &statement.timeout_digits;
-    let body_bytes = text.len() - replaced.len() + digits.len() + TERMINATOR_BYTES;
+    let packed_value = statement.packed_value.clone();
+    let packed_bytes = packed_value.as_ref().map_or(0, PackedValue::digit_count);
+    let body_bytes = text.len() + packed_bytes - replaced.len() + digits.len() + TERMINATOR_BYTES;
     let mut head = BytesMut::with_capacity(HEADER_BYTES);
     put_header(&mut head, QUERY, body_bytes);
     let mut tail = BytesMut::with_capacity(text.len() - replaced.end + TERMINATOR_BYTES);
     put_text(&mut tail, &text[replaced.end..]);
-    [head.freeze(), text.slice(..replaced.start), Bytes::from(digits), tail.freeze()]
+    let (head, digits, tail) = (head.freeze(), Bytes::from(digits), tail.freeze());
+    let Some(packed_value) = packed_value else {
+        let buffers = vec![head, text.slice(..replaced.start), digits, tail];
+        return OutgoingQuery { start: Some(buffers), packed_digits: None, end: None };
+    };
+    let value_at = statement.value_digits.start;
+    OutgoingQuery {
+        start: Some(vec![head, text.slice(..value_at)]),
+        packed_digits: Some(Box::new(packed_value.into_digits())),
+        end: Some(vec![text.slice(value_at..replaced.start), digits, tail]),
+    }
 }
 
 /// Encodes a simple query (`Query`). `text` contains no zero byte.
--- a/crates/gateway/src/proto/pg/mod.rs
+++ b/crates/gateway/src/proto/pg/mod.rs
@@ -8,6 +8,7 @@
 //! - [`frontend`]: messages of clients.
 //! - [`backend`]: messages of endpoints.
 //! - [`statement`]: the supported statements, and the comment with the parameters of the request.
+//! - [`packed_value`]: values of pending statements, in less memory than their text.
 //! - [`encode`]: messages that the gateway writes.
 //! - [`load_report`]: load reports of endpoints.
 //! - [`sqlstate`]: error codes.
@@ -19,6 +20,7 @@
 pub mod framing;
 pub mod frontend;
 pub mod load_report;
+pub mod packed_value;
 pub mod sqlstate;
 pub mod statement;
 
--- a/crates/gateway/src/proto/pg/statement.rs
+++ b/crates/gateway/src/proto/pg/statement.rs
@@ -1,6 +1,7 @@
 //! Parser for the supported statements: one SELECT and one INSERT, each followed by a comment with the request's id,
 //! class, timeout and optional parameters. Only statements of exactly this form are forwarded to endpoints.
 
+use super::packed_value::{self, PackedValue};
 use crate::clock::{MICROS_PER_MS, millis};
 use crate::limits::messages::{
     MAX_IDENTIFIER_BYTES, MAX_REQUEST_TIMEOUT, MAX_VALUE_BYTES, MIN_REQUEST_TIMEOUT,
@@ -78,10 +79,14 @@
 /// A valid statement, with the parameters from its comment.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Statement {
-    /// The statement with its comment, as received from the client.
+    /// The statement with its comment, as received from the client; without the digits of a packed value.
     pub text: Bytes,
     /// The byte range of the timeout's digits (`d`) in `text`; an attempt replaces them with the remaining time.
     pub timeout_digits: Range<usize>,
+    /// The byte range of the value's hexadecimal digits in `text`; empty for a SELECT, and if the value is packed.
+    pub value_digits: Range<usize>,
+    /// The value whose digits belong at the start of `value_digits`, if it is stored in less memory than as text.
+    pub packed_value: Option<PackedValue>,
     /// The request's id (`id`), set by the client; two pending requests may not have the same.
     pub id: Bytes,
     /// The name of the request class (`c`); may be unknown to the gateway.
@@ -131,7 +136,10 @@
         };
         Ok(Statement {
             timeout_digits: timeout.range(),
-            id: text.slice(id.range()),
+            value_digits: sql.value_digits,
+            packed_value: None,
+            // A slice would retain the memory of the text while the response is written.
+            id: Bytes::copy_from_slice(&text[id.range()]),
             class: class.value.to_string(),
             tenant: fields.tenant.map(|field| field.value.to_string()),
             item: Some(sql.item.to_string()),
@@ -143,12 +151,37 @@
             text,
         })
     }
+
+    /// Stores the statement in memory of its own: the digits of its value as the bytes that they represent, if they can
+    /// be restored exactly.
+    ///
+    /// `reserve` gets the number of bytes, and returns what is dropped with the last part of the statement, such as a
+    /// reservation of the memory.
+    #[must_use]
+    pub fn pack<R: Send + 'static>(mut self, reserve: impl FnOnce(usize) -> R) -> Statement {
+        let Some(value) = PackedValue::decode(&self.text[self.value_digits.clone()]) else {
+            let reservation = reserve(self.text.len());
+            self.text = packed_value::with_reservation(self.text, reservation);
+            return self;
+        };
+        let Range { start, end } = self.value_digits;
+        let text = [&self.text[..start], &self.text[end..]].concat();
+        let reservation = reserve(text.len() + value.memory());
+        self.packed_value = Some(value.with_reservation(reservation));
+        self.text = Bytes::from(text);
+        let removed = end - start;
+        self.timeout_digits = self.timeout_digits.start - removed..self.timeout_digits.end - removed;
+        self.value_digits = start..start;
+        self
+    }
 }
 
 /// A statement without its comment.
 struct Sql<'a> {
     item: &'a str,
     is_write: bool,
+    /// The byte range of the value's digits, empty for a SELECT.
+    value_digits: Range<usize>,
 }
 
 impl<'a> Sql<'a> {
@@ -160,23 +193,21 @@
         if !is_identifier(item) {
             return Err(StatementError::InvalidItem);
         }
-        let is_valid = if is_write { is_insert_value(rest) } else { rest.is_empty() };
-        if !is_valid {
-            return Err(StatementError::InvalidValue);
-        }
-        Ok(Sql { item, is_write })
+        let digits = if is_write { insert_digits(rest) } else { rest.is_empty().then_some(rest) };
+        let digits = digits.ok_or(StatementError::InvalidValue)?;
+        let end = if is_write { sql.len() - INSERT_SUFFIX.len() } else { sql.len() };
+        Ok(Sql { item, is_write, value_digits: end - digits.len()..end })
     }
 }
 
-/// Returns `true` if `rest`, the INSERT after the closing quote of the item, is one valid value in hex, without
+/// The digits in `rest`, the INSERT after the closing quote of the item, if that is one valid value in hex, without
 /// comment.
-fn is_insert_value(rest: &str) -> bool {
-    let value = rest.strip_prefix(", '\\x").and_then(|rest| rest.strip_suffix(INSERT_SUFFIX));
-    value.is_some_and(|value| {
-        value.len() <= DIGITS_PER_BYTE * MAX_VALUE_BYTES
-            && value.len().is_multiple_of(DIGITS_PER_BYTE)
-            && value.bytes().all(|byte| byte.is_ascii_hexdigit())
-    })
+fn insert_digits(rest: &str) -> Option<&str> {
+    let digits = rest.strip_prefix(", '\\x").and_then(|rest| rest.strip_suffix(INSERT_SUFFIX))?;
+    let is_valid = digits.len() <= DIGITS_PER_BYTE * MAX_VALUE_BYTES
+        && digits.len().is_multiple_of(DIGITS_PER_BYTE)
+        && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
+    is_valid.then_some(digits)
 }
 
 #[derive(Clone, Copy)]
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -105,7 +105,7 @@
     let (readiness_sender, readiness) = readiness();
     let clients = Clients::new(ClientsConfig {
         max_sessions: descriptors.clients,
-        large_message_memory: large_message_memory(config.memory_limit),
+        large_message_memory: large_message_memory(config.memory_limit, descriptors.clients),
         classes: config.settings.classes(),
         clock,
         readiness,
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -48,12 +48,17 @@
     assert_eq!(evicted_index(candidates), expected);
 }
 
-/// Too little would delay the requests of clients that send completely, whatever the limit of memory is.
+/// Too little would delay the requests of clients that send completely, whatever the limit of memory is. Too much, with
+/// the read-ahead of all connections, would exceed the limit.
 #[rstest]
-#[case::quarter_of_the_limit(192 << 20, 48 << 20)]
-#[case::at_least_24_messages(1 << 20, 24 * 139_264)]
-fn memory_for_large_messages_follows_the_limit(#[case] limit: usize, #[case] expected: usize) {
-    assert_eq!(large_message_memory(limit), expected);
+#[case::half_of_the_limit(192 << 20, 488, 96 << 20)]
+#[case::lowest_limit_of_the_settings(32 << 20, 488, 16 << 20)]
+#[case::little_memory_for_many_clients(24 << 20, 488, (24 << 20) - (8 << 20) - (488 << 14))]
+#[case::at_least_24_messages(1 << 20, 488, 24 * 139_264)]
+fn memory_for_large_messages_follows_the_limit(
+    #[case] limit: usize, #[case] max_sessions: usize, #[case] expected: usize,
+) {
+    assert_eq!(large_message_memory(limit, max_sessions), expected);
 }
 
 /// A duplicate that is under way as the next query is written was sent less than a round trip before.
--- a/crates/test-support/src/gateway.rs
+++ b/crates/test-support/src/gateway.rs
@@ -235,6 +235,18 @@
         self.process.child.try_wait().expect("the exit status of a child process can be read").is_none()
     }
 
+    /// The memory of the process in bytes, without pages of files.
+    ///
+    /// # Panics
+    /// The process has ended.
+    pub fn memory_bytes(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()));
+        let status = status.expect("the process is running");
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB")?.parse::<usize>().ok());
+        kib.expect("a number of KiB") * 1024
+    }
+
     /// The process id of the gateway.
     pub fn pid(&self) -> u32 {
         self.process.child.id()
