The id of a client that left is not accepted again before its request's deadline

What callers saw (the operators' picture): an id ran twice when it came again after its client had left.

Cause: the id was registered as pending until the end of the session, not until endpoints could no longer execute the request.

Evidence: a client sends a pay that an endpoint has received and disconnects; another one sends the same id.

Change: after a disconnect the id stays registered until the request's deadline, 3 s at most. Sound clients use a new id for each request, a retry included, so none of theirs is turned away.

Test, red before in both cases: client_sessions::id_of_a_client_that_left_is_not_accepted_again.

--- a/crates/cli/tests/gateway/client_sessions.rs
+++ b/crates/cli/tests/gateway/client_sessions.rs
@@ -11,6 +11,7 @@
 };
 use latchhaven_test_support::wait::wait_until;
 use rstest::rstest;
+use serde_json::json;
 use std::io::Read;
 use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
@@ -230,6 +231,28 @@
     assert!(stuck.queries().iter().all(|query| query.text.contains("id=b")));
 }
 
+/// A client that has left may have been served: its request would be executed twice if its id was accepted again.
+#[rstest]
+#[case::attempt_continues(false)]
+#[case::attempt_is_cancelled(true)]
+fn id_of_a_client_that_left_is_not_accepted_again(#[case] is_cancelled: bool) {
+    let server = FakeServer::start(ServerBehavior::NeverRespond);
+    let gateway = Gateway::start_with(&[&server], |config| {
+        use_long_timeouts(config);
+        config["settings"]["permissions"]["cancelling"] = json!(is_cancelled);
+    });
+    let mut client = gateway.client();
+    client.send(&query(&insert("a1", "pay", 15_000)));
+    wait_until_received(&server, 1);
+    drop(client);
+    wait_until("the disconnect is counted", || gateway.counter("clients_disconnected_total") == 1);
+    server.set_behavior(ServerBehavior::Succeed);
+    let again = gateway.client().query(&insert("a1", "pay", 15_000));
+    assert_eq!(query_result(&again), Err(SqlState::from(DUPLICATE_ID)));
+    wait_until_served(&gateway);
+    assert_eq!(server.queries().iter().filter(|query| query.text.contains("id=a1")).count(), 1);
+}
+
 /// The end of the stream is behind a part of a message, which the gateway does not read while a request is pending.
 #[test]
 fn half_closed_client_with_unread_bytes_counts_as_disconnected() {
--- a/crates/gateway/src/limits/clients.rs
+++ b/crates/gateway/src/limits/clients.rs
@@ -37,6 +37,8 @@
 /// Minimum time after which a connection that has never sent a request can be evicted. Short, because clients usually
 /// send a request immediately.
 pub const MIN_SILENCE_BEFORE_EVICTION: Duration = Duration::from_millis(50);
+/// Maximum time for which the id of a request stays in use after its client has disconnected. Bounds memory.
+pub const MAX_ID_RETENTION: Duration = Duration::from_secs(3);
 /// Maximum number of messages of one client that are handled before other tasks have a turn.
 pub const MAX_MESSAGES_PER_TURN: u32 = 32;
 /// Maximum number of connections that are accepted before other tasks have a turn.
--- a/crates/gateway/src/net/clients/mod.rs
+++ b/crates/gateway/src/net/clients/mod.rs
@@ -46,8 +46,9 @@
     sessions: RefCell<BTreeMap<u64, Rc<SharedSessionState>>>,
     max_sessions: usize,
     classes: Vec<KnownClass>,
-    /// The ids of pending requests, as given by clients; each is unique.
-    pending_ids: RefCell<BTreeSet<Bytes>>,
+    /// The ids of pending requests, as given by clients, and until their deadline those whose client has disconnected;
+    /// each is unique.
+    pending_ids: Rc<RefCell<BTreeSet<Bytes>>>,
     /// Memory for messages above [`MAX_READ_AHEAD_BYTES`](crate::limits::clients::MAX_READ_AHEAD_BYTES).
     large_messages: LargeMessages,
     next_session_id: Cell<u64>,
@@ -89,7 +90,7 @@
             sessions: RefCell::default(),
             max_sessions,
             classes: known_classes.collect(),
-            pending_ids: RefCell::default(),
+            pending_ids: Rc::default(),
             large_messages: LargeMessages::new(large_message_memory),
             next_session_id: Cell::new(0),
             next_request_id: Cell::new(0),
--- a/crates/gateway/src/net/clients/requests.rs
+++ b/crates/gateway/src/net/clients/requests.rs
@@ -6,19 +6,22 @@
 use super::read_buffer::{ReadBuffer, record_unread};
 use super::session::SessionTask;
 use super::shared_state::SharedSessionState;
-use crate::clock::millis;
+use crate::clock::{duration, millis};
 use crate::counters::COUNTERS;
 use crate::invariant;
-use crate::limits::clients::{MAX_READ_AHEAD_BYTES, SLOW_WRITE_THRESHOLD};
+use crate::limits::clients::{MAX_ID_RETENTION, MAX_READ_AHEAD_BYTES, SLOW_WRITE_THRESHOLD};
 use crate::net::{DriverEvent, FinalResponse, read_some};
 use crate::proto::pg::{self, Statement, StatementError};
 use bytes::Bytes;
 use latchhaven_policy::{Millis, RequestId};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::select;
 use tokio::sync::oneshot;
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 
 /// Why a query is invalid; the text is sent to the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -77,21 +80,29 @@
 }
 
 /// Registers the id of a request as pending until dropped.
-struct PendingId<'a> {
-    clients: &'a Clients,
+struct PendingId {
+    ids: Rc<RefCell<BTreeSet<Bytes>>>,
     id: Bytes,
 }
 
-impl<'a> PendingId<'a> {
-    fn new(clients: &'a Clients, id: Bytes) -> Self {
+impl PendingId {
+    fn new(clients: &Clients, id: Bytes) -> Self {
         clients.pending_ids.borrow_mut().insert(id.clone());
-        PendingId { clients, id }
+        PendingId { ids: clients.pending_ids.clone(), id }
+    }
+
+    /// Registers the id for this time more: endpoints may still execute the request of a client that has disconnected.
+    fn drop_after(self, time: Duration) {
+        tokio::task::spawn_local(async move {
+            sleep(time).await;
+            drop(self);
+        });
     }
 }
 
-impl Drop for PendingId<'_> {
+impl Drop for PendingId {
     fn drop(&mut self) {
-        self.clients.pending_ids.borrow_mut().remove(&self.id);
+        self.ids.borrow_mut().remove(&self.id);
     }
 }
 
@@ -110,6 +121,7 @@
             return self.write(&[rejection(None), Bytes::from_static(pg::encode::READY)]).await;
         }
         let clients = self.clients;
+        let deadline = arrived_at + statement.timeout;
         let id = RequestId(clients.next_request_id.get());
         clients.next_request_id.set(id.0.wrapping_add(1));
         let (response_sender, final_response) = oneshot::channel();
@@ -117,8 +129,9 @@
         let received = DriverEvent::RequestReceived { id, statement, arrived_at, response_sender };
         let _ = clients.events.send(received).await;
         let completed = self.complete_request(id, final_response).await;
-        drop(pending_id);
         if completed.is_err() {
+            let time_left = deadline - clients.clock.now();
+            pending_id.drop_after(duration(time_left.max(0.0)).min(MAX_ID_RETENTION));
             let _ = clients.events.send(DriverEvent::ClientDisconnected { id }).await;
         }
         completed
