A request that was read behind other messages of a client that left is not passed on

What callers saw (the operators' picture): a client closed its connection with much still unread, and its requests were sent on afterwards.

Evidence: shown in part. 10,000 Sync messages, a request, the end of the client's side, sent while the process is suspended: the gateway accepted the request (requests_total 3 in place of 2). It was not sent, since both events reached the policy in one batch; nothing guarantees that.

Change: before a request is passed on, the session checks whether the runtime knows that the client has ended its side; no system call.

Test, red before by its count of accepted requests: client_sessions::request_behind_many_messages_of_a_client_that_left_is_not_sent.

--- a/crates/cli/tests/gateway/client_sessions.rs
+++ b/crates/cli/tests/gateway/client_sessions.rs
@@ -253,6 +253,24 @@
     assert_eq!(server.queries().iter().filter(|query| query.text.contains("id=a1")).count(), 1);
 }
 
+/// Requests that are read long after their client has left must not be sent.
+#[test]
+fn request_behind_many_messages_of_a_client_that_left_is_not_sent() {
+    let server = FakeServer::start(ServerBehavior::Succeed);
+    let gateway = Gateway::start_with(&[&server], use_long_timeouts);
+    assert_served(&mut gateway.client(), "a1", 15_000);
+    let mut client = gateway.client();
+    pause(&gateway);
+    client.send(&message(b'S', b"").repeat(10_000));
+    client.send(&query(&insert("a2", "pay", 15_000)));
+    client.0.shutdown(Shutdown::Write).unwrap();
+    gateway.signal("CONT");
+    read_to_end(&mut client).unwrap();
+    assert_served(&mut gateway.client(), "a3", 15_000);
+    assert!(server.queries().iter().all(|query| !query.text.contains("id=a2")));
+    assert_eq!(gateway.counter("requests_total"), 2);
+}
+
 /// The end of the stream is behind a part of a message, which the gateway does not read while a request is pending.
 #[test]
 fn half_closed_client_with_unread_bytes_counts_as_disconnected() {
--- a/crates/gateway/src/net/clients/requests.rs
+++ b/crates/gateway/src/net/clients/requests.rs
@@ -10,6 +10,7 @@
 use crate::counters::COUNTERS;
 use crate::invariant;
 use crate::limits::clients::{MAX_ID_RETENTION, MAX_READ_AHEAD_BYTES, SLOW_WRITE_THRESHOLD};
+use crate::net::io::is_known_to_be_closed_by_peer;
 use crate::net::{DriverEvent, FinalResponse, read_some};
 use crate::proto::pg::{self, Statement, StatementError};
 use bytes::Bytes;
@@ -120,6 +121,10 @@
             COUNTERS.requests_rejected_total.increment();
             return self.write(&[rejection(None), Bytes::from_static(pg::encode::READY)]).await;
         }
+        // Its client may have disconnected long ago if the request was read behind many other messages.
+        if is_known_to_be_closed_by_peer(self.stream) {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
         let clients = self.clients;
         let deadline = arrived_at + statement.timeout;
         let id = RequestId(clients.next_request_id.get());
--- a/crates/gateway/src/net/io.rs
+++ b/crates/gateway/src/net/io.rs
@@ -24,9 +24,12 @@
 
 /// Returns `true` if the peer has closed its side, even if unread input precedes the end of the stream.
 pub fn is_closed_by_peer(stream: &TcpStream) -> bool {
-    if matches!(SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(0)) {
-        return true;
-    }
+    matches!(SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(0))
+        || is_known_to_be_closed_by_peer(stream)
+}
+
+/// As [`is_closed_by_peer`], by what the runtime was notified of before its current turn; without a system call.
+pub fn is_known_to_be_closed_by_peer(stream: &TcpStream) -> bool {
     // Polled once without a waker: reads the readiness that the runtime has recorded, and waits for nothing.
     let ready = std::pin::pin!(stream.ready(Interest::READABLE));
     let polled = ready.poll(&mut Context::from_waker(Waker::noop()));
