--- a/crates/cli/tests/gateway/floods.rs
+++ b/crates/cli/tests/gateway/floods.rs
@@ -7,8 +7,8 @@
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 
 /// Connections that flood the gateway at the same time.
@@ -16,6 +16,9 @@
 /// Messages of one write.
 const MESSAGES_PER_WRITE: u64 = 5000;
 
+/// Floods run one after another: together they would delay the tests that run beside them.
+static ONE_FLOOD: Mutex<()> = Mutex::new(());
+
 /// What a flooding client sends; the argument numbers its writes.
 type Flood = fn(u64) -> Vec<u8>;
 
@@ -111,6 +114,7 @@
 #[case::new_tenants(new_tenants, startup())]
 #[case::encryption_requests(encryption_requests, Vec::new())]
 fn clients_at_full_speed_do_not_stop_others(#[case] sent: Flood, #[case] first_message: Vec<u8>) {
+    let _one_flood = ONE_FLOOD.lock().unwrap_or_else(PoisonError::into_inner);
     let server = FakeServer::start(ServerBehavior::Succeed);
     let gateway = Gateway::start(&[&server]);
     let _flooding = Flooding::start(gateway.addr, sent, &first_message);
--- a/crates/gateway/src/net/clients/requests.rs
+++ b/crates/gateway/src/net/clients/requests.rs
@@ -121,7 +121,7 @@
             COUNTERS.requests_rejected_total.increment();
             return self.write(&[rejection(None), Bytes::from_static(pg::encode::READY)]).await;
         }
-        // Its client may have disconnected long ago if the request was read behind many other messages.
+        // The request may have been read behind many other messages, and its client may have disconnected meanwhile.
         if is_known_to_be_closed_by_peer(self.stream) {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
