Sticky keys are recorded up to 65,536, by hash: new ones beyond stay with the baseline

What operators of other deployments saw: memory grows while a client sends requests under ever new names.

Cause, by reading: each new key that a canary served was recorded until the next version, whatever their number. Tenants and ids are bounded.

Change: 65,536 keys, as hashes of eight bytes. Beyond them a canary serves only recorded keys, so the rule on sticky keys holds without a record; after the release, unrecorded keys go to no earlier version. No request is turned away for it: the baseline serves them.

Test: exposure::new_keys_stay_with_the_baseline_once_the_recorded_ones_are_too_many. It asks for counts that did not exist before, so it was not run without the change.

--- a/crates/policy/src/exposure.rs
+++ b/crates/policy/src/exposure.rs
@@ -35,6 +35,7 @@
             self.attempts_since(version, request.class, window_start - TIME_LIMIT_SAFETY_MARGIN) + 1;
         let arrivals = self.arrivals_since(request.class, window_start + TIME_LIMIT_SAFETY_MARGIN);
         let allowed = self.config.allowance + canary.traffic_cap * arrivals as f64;
-        canary.traffic_cap > 0.0 && is_open_to_class && attempts as f64 <= allowed
+        let may_serve_key = self.may_become_sticky(request.sticky_key.as_ref());
+        canary.traffic_cap > 0.0 && may_serve_key && is_open_to_class && attempts as f64 <= allowed
     }
 }
--- a/crates/policy/src/state/exposure.rs
+++ b/crates/policy/src/state/exposure.rs
@@ -8,6 +8,7 @@
 use crate::state::window::SlidingWindow;
 use crate::time::Millis;
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Windows for which arrivals and attempts are retained: the rule counts over one window and its safety margin.
 const RETAINED_WINDOWS: f64 = 2.0;
@@ -15,6 +16,8 @@
 const COMMON_BUCKET: usize = 0;
 /// The stage of a version until the platform reports its rollout.
 const FIRST_STAGE: u32 = 0;
+/// Sticky keys that are recorded at most: clients set them, and memory is limited.
+const MAX_STICKY_KEYS: usize = 65_536;
 
 /// Counts the attempts at each version within the sliding window, and stores which version a sticky key requires.
 ///
@@ -28,8 +31,8 @@
     arrivals: Vec<SlidingWindow>,
     /// Times at which attempts were sent, by version and bucket.
     attempts_by_version: BTreeMap<(Version, usize), SlidingWindow>,
-    /// The highest version that has served each sticky key, for keys that a canary has served.
-    sticky_versions: BTreeMap<String, Version>,
+    /// The highest version that has served each sticky key, by the hash of the key, for keys that a canary has served.
+    sticky_versions: BTreeMap<u64, Version>,
 }
 
 impl ExposureLimiter {
@@ -89,9 +92,24 @@
     }
 
     /// The lowest version that requests with a sticky key may go to; `None` if the key may go to every version.
+    ///
+    /// Once no further key can be recorded, a version that is completely rolled out may have served any key.
     #[must_use]
     pub fn sticky_version(&self, key: Option<&String>) -> Option<Version> {
-        self.sticky_versions.get(key?).copied()
+        let recorded = self.sticky_versions.get(&hash(key?)).copied();
+        let promoted = self.rollout.filter(|rollout| rollout.phase == RolloutPhase::Promoted);
+        recorded.or_else(|| promoted.filter(|_| self.has_max_sticky_keys()).map(|rollout| rollout.version))
+    }
+
+    /// Whether a canary may serve requests with this sticky key: the key is recorded, or still can be.
+    #[must_use]
+    pub fn may_become_sticky(&self, key: Option<&String>) -> bool {
+        let is_recorded = |key: &String| self.sticky_versions.contains_key(&hash(key));
+        !self.config.sticky_keys || !self.has_max_sticky_keys() || key.is_none_or(is_recorded)
+    }
+
+    fn has_max_sticky_keys(&self) -> bool {
+        self.sticky_versions.len() >= MAX_STICKY_KEYS
     }
 
     /// Records that `version` has served a request with a sticky key, which then goes to no earlier version until
@@ -105,13 +123,23 @@
         if !self.config.sticky_keys || version <= lowest_version || !is_serving {
             return false;
         }
-        if self.sticky_versions.get(key).is_some_and(|sticky| version <= *sticky) {
+        let key = hash(key);
+        let recorded = self.sticky_versions.get(&key);
+        if recorded.is_some_and(|sticky| version <= *sticky)
+            || recorded.is_none() && self.has_max_sticky_keys()
+        {
             return false;
         }
-        self.sticky_versions.insert(key.to_string(), version);
+        self.sticky_versions.insert(key, version);
         true
     }
 
+    /// The number of sticky keys that are recorded, which is limited.
+    #[must_use]
+    pub fn sticky_key_count(&self) -> usize {
+        self.sticky_versions.len()
+    }
+
     /// Applies a state of the rollout that the platform reported. Sticky keys of versions that are rolled back may go
     /// to every version again.
     pub fn apply_rollout(&mut self, rollout: RolloutState) {
@@ -143,6 +171,13 @@
     }
 }
 
+/// The hash of a sticky key. Two keys with the same hash are served by the same versions, which breaks no rule.
+fn hash(key: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Returns `true` if the version of the rollout serves requests, as a canary or as the new baseline.
 fn is_serving(rollout: &RolloutState) -> bool {
     matches!(rollout.phase, RolloutPhase::Canary | RolloutPhase::Promoted)
--- a/crates/policy/tests/policy/exposure.rs
+++ b/crates/policy/tests/policy/exposure.rs
@@ -1,7 +1,11 @@
 //! Limits on the attempts at canaries: traffic caps, closed stages and sticky keys.
 
 use crate::support::{SentAttempt, TestConfig, class, succeed, with_canary};
-use latchhaven_policy::{AttemptOutcome, DedupScope, Idempotency, Millis, RequestId, RolloutPhase, Version};
+use latchhaven_policy::state::exposure::ExposureLimiter;
+use latchhaven_policy::{
+    AttemptOutcome, DedupScope, ExposureConfig, Idempotency, Millis, RequestId, RolloutPhase, RolloutState,
+    Version,
+};
 use rstest::rstest;
 
 #[rstest]
@@ -124,6 +128,36 @@
     }
 }
 
+/// Clients may use ever new keys: their number must not determine the memory, and none may return from the canary.
+#[test]
+fn new_keys_stay_with_the_baseline_once_the_recorded_ones_are_too_many() {
+    let config = ExposureConfig {
+        sticky_keys: true,
+        stage_caps: vec![1.0],
+        window: 2000.0,
+        ..ExposureConfig::default()
+    };
+    let mut exposure = ExposureLimiter::new(config, 1);
+    let state = |phase| RolloutState { version: Version(2), stage: 0, phase, traffic_cap: 1.0, age: 0.0 };
+    exposure.apply_rollout(state(RolloutPhase::Canary));
+    let key = |number: usize| format!("k{number}");
+    let mut served = 0;
+    for number in 0..100_000 {
+        if exposure.may_become_sticky(Some(&key(number))) {
+            served += 1;
+            assert!(exposure.record_sticky_key(&key(number), Version(2), Version(1)));
+        }
+    }
+    assert_eq!((served, exposure.sticky_key_count()), (65_536, 65_536));
+    assert!((0..served).all(|number| exposure.sticky_version(Some(&key(number))) == Some(Version(2))));
+    assert_eq!(exposure.sticky_version(Some(&key(served))), None);
+    // A version that is completely rolled out serves new keys too: from then on, none may go back.
+    exposure.apply_rollout(state(RolloutPhase::Promoted));
+    assert_eq!(exposure.sticky_version(Some(&key(served))), Some(Version(2)));
+    exposure.apply_rollout(state(RolloutPhase::RollingBack));
+    assert_eq!(exposure.sticky_key_count(), 0);
+}
+
 #[rstest]
 fn sticky_key_stays_with_canary_until_rollback() {
     let mut config = TestConfig::default();
