--- a/crates/gateway/src/net/clients/requests.rs
+++ b/crates/gateway/src/net/clients/requests.rs
@@ -123,6 +123,7 @@
         }
         // The request may have been read behind many other messages, and its client may have disconnected meanwhile.
         if is_known_to_be_closed_by_peer(self.stream) {
+            COUNTERS.clients_disconnected_total.increment();
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         let clients = self.clients;
