Attempts that waited for a connection are confirmed before they are written

The rule on exposure counted an attempt when it was chosen; the platform counts it when its last byte arrives, when the requests that allowed it may have left the window.

Change: when a connection is ready for a queued call, Policy::confirm_attempt checks the rule on exposure again, without the attempt's earlier count, and counts it at that time. Otherwise it ends as not sent and its request is routed again.

--- a/crates/cli/tests/gateway/pool_support.rs
+++ b/crates/cli/tests/gateway/pool_support.rs
@@ -71,7 +71,7 @@
     let Some(DriverEvent::ConnectionReady { connection, is_newly_opened }) = events.recv().await else {
         panic!("no connection is ready")
     };
-    pool.on_connection_ready(connection, is_newly_opened, 0.0);
+    assert!(pool.on_connection_ready(connection, is_newly_opened, 0.0, |_| true).is_empty());
 }
 
 /// Receives the next event, which has to report that a call has ended. Returns the result of the call.
@@ -94,7 +94,7 @@
     loop {
         match events.recv().await.unwrap() {
             DriverEvent::ConnectionReady { connection, is_newly_opened } => {
-                pool.on_connection_ready(connection, is_newly_opened, 0.0);
+                assert!(pool.on_connection_ready(connection, is_newly_opened, 0.0, |_| true).is_empty());
             }
             DriverEvent::ConnectionClosed { connection } => {
                 if pool.on_connection_closed(&connection).is_some() {
--- a/crates/gateway/src/gateway/event_loop.rs
+++ b/crates/gateway/src/gateway/event_loop.rs
@@ -82,7 +82,7 @@
             DriverEvent::ClientDisconnected { id } => self.on_client_disconnected(id, events),
             DriverEvent::Abandon { id } => events.push(Event::Abandon { id }),
             DriverEvent::ConnectionReady { connection, is_newly_opened } => {
-                self.pool.on_connection_ready(connection, is_newly_opened, self.clock.now());
+                self.on_connection_ready(connection, is_newly_opened);
             }
             DriverEvent::ConnectFailed { connection } => {
                 if let Some(call) = self.pool.on_connect_failed(&connection) {
--- a/crates/gateway/src/gateway/upstream_calls.rs
+++ b/crates/gateway/src/gateway/upstream_calls.rs
@@ -7,9 +7,10 @@
 use crate::invariant;
 use crate::limits::upstream::attempt_deadline;
 use crate::net::FinalResponse;
-use crate::net::upstream::{CallResult, CancelResult, QueuedCall, UpstreamCall};
+use crate::net::upstream::{CallResult, CancelResult, QueuedCall, UpstreamCall, UpstreamConnection};
 use crate::proto::pg;
 use latchhaven_policy::{AttemptOutcome, CompletedAttempt, Event, LoadReporting, Millis, RequestId};
+use std::rc::Rc;
 
 impl Gateway {
     /// Starts an attempt. An attempt that cannot be sent ends with `NotSent`, and so does one that is not completely
@@ -48,6 +49,19 @@
         }
     }
 
+    /// Sends the oldest queued call on a connection that is ready. The policy confirms attempts, which were routed before
+    /// they waited for the connection; the others end with `NotSent`.
+    pub(super) fn on_connection_ready(&mut self, connection: Rc<UpstreamConnection>, is_newly_opened: bool) {
+        let now = self.clock.now();
+        let policy = &mut self.policy;
+        let may_be_sent = |call: UpstreamCall| match call {
+            UpstreamCall::Attempt { id, attempt } => policy.confirm_attempt(id, attempt, now),
+            UpstreamCall::HealthCheck(_) => true,
+        };
+        let refused = self.pool.on_connection_ready(connection, is_newly_opened, now, may_be_sent);
+        self.report_not_sent(refused);
+    }
+
     /// Starts a health check. A health check that cannot be sent ends with `NotSent`.
     pub(super) fn check_health(&mut self, endpoint: &str) {
         let now = self.clock.now();
--- a/crates/gateway/src/net/upstream/endpoint.rs
+++ b/crates/gateway/src/net/upstream/endpoint.rs
@@ -153,6 +153,15 @@
         Some(queued)
     }
 
+    pub(super) fn take_oldest_queued(&mut self) -> Option<QueuedCall> {
+        self.queue.pop_front()
+    }
+
+    /// Makes a settled connection idle again that was to carry a queued call and has not carried one.
+    pub(super) fn return_idle(&mut self, connection: Rc<UpstreamConnection>) {
+        self.idle.push(connection);
+    }
+
     pub(super) fn remove_idle(&mut self, connection: &Rc<UpstreamConnection>) {
         self.idle.retain(|idle| !Rc::ptr_eq(idle, connection));
     }
--- a/crates/gateway/src/net/upstream/pool.rs
+++ b/crates/gateway/src/net/upstream/pool.rs
@@ -142,23 +142,43 @@
         true
     }
 
-    /// Assigns the oldest queued call to a connection that is ready, or makes the connection idle. `is_newly_opened`:
-    /// the connection was just opened.
+    /// Assigns the oldest queued call that `may_be_sent` confirms to a connection that is ready, or makes the connection
+    /// idle. `is_newly_opened`: the connection was just opened. Returns the queued calls that may not be sent any more,
+    /// which the caller reports as not sent.
+    #[must_use]
     pub fn on_connection_ready(
         &mut self, connection: Rc<UpstreamConnection>, is_newly_opened: bool, now: Millis,
-    ) {
-        let Some(endpoint) = self.endpoints.get_mut(&connection.endpoint) else { return connection.close() };
+        mut may_be_sent: impl FnMut(UpstreamCall) -> bool,
+    ) -> Vec<UpstreamCall> {
+        let mut refused = Vec::new();
+        let Some(endpoint) = self.endpoints.get_mut(&connection.endpoint) else {
+            connection.close();
+            return refused;
+        };
         if endpoint.generation != connection.generation || connection.is_closed.get() {
-            return connection.close();
+            connection.close();
+            return refused;
         }
         if is_newly_opened {
             endpoint.end_connecting();
         }
-        if let Some(queued) = endpoint.add_idle(&connection, self.unsolicited.settle_time(&connection)) {
-            self.start_call(connection, &queued, now);
-        } else if connection.is_awaited.get() {
-            self.report_when_settled(connection);
+        let Some(mut queued) = endpoint.add_idle(&connection, self.unsolicited.settle_time(&connection))
+        else {
+            if connection.is_awaited.get() {
+                self.report_when_settled(connection);
+            }
+            return refused;
+        };
+        while !may_be_sent(queued.call) {
+            refused.push(queued.call);
+            let Some(next) = endpoint.take_oldest_queued() else {
+                endpoint.return_idle(connection);
+                return refused;
+            };
+            queued = next;
         }
+        self.start_call(connection, &queued, now);
+        refused
     }
 
     /// Records that a connection could not be opened. Returns the oldest queued call, which the caller reports as
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -303,6 +303,27 @@
         true
     }
 
+    /// Whether an attempt that has waited, for example for a connection, may be written now. If not, the adapter ends it
+    /// with [`AttemptOutcome::NotSent`].
+    ///
+    /// The rule on exposure counts attempts when endpoints receive them, so it is checked again: in the meantime the
+    /// requests that allowed the attempt may have left the window, or the canary may have served its sticky key.
+    #[must_use]
+    pub fn confirm_attempt(&mut self, id: RequestId, number: u32, now: Millis) -> bool {
+        let Some(request) = self.requests.requests.get(&id) else { return false };
+        let Some(attempt) = request.attempts.get(number as usize) else { return false };
+        let (version, recorded_at) = (attempt.version, attempt.sent_at);
+        let lowest_version = self.registry.lowest_version;
+        let class = request.class;
+        self.exposure.remove_attempt(version, class, recorded_at);
+        let idempotency = self.classes[class].idempotency;
+        let is_allowed = self.exposure.allows(request, idempotency, version, lowest_version, now);
+        if is_allowed {
+            self.exposure.record_attempt(version, class, now);
+        }
+        is_allowed
+    }
+
     /// Cancels an attempt that is in flight. Returns `false` if that is not permitted or the attempt was cancelled
     /// before.
     pub(crate) fn cancel(&mut self, id: RequestId, number: usize) -> bool {
--- a/crates/policy/src/state/exposure.rs
+++ b/crates/policy/src/state/exposure.rs
@@ -72,6 +72,14 @@
         self.attempts_by_version.entry((version, bucket)).or_default().record(now, retention);
     }
 
+    /// Removes an attempt that was recorded at `recorded_at`.
+    pub fn remove_attempt(&mut self, version: Version, class: usize, recorded_at: Millis) {
+        let bucket = self.bucket(class);
+        if let Some(attempts) = self.attempts_by_version.get_mut(&(version, bucket)) {
+            attempts.remove(recorded_at);
+        }
+    }
+
     /// The number of pairs of a version and a bucket for which attempt times are retained.
     #[must_use]
     pub fn attempt_window_count(&self) -> usize {
--- a/crates/policy/src/state/window.rs
+++ b/crates/policy/src/state/window.rs
@@ -17,6 +17,13 @@
         self.0.insert(index, time);
     }
 
+    /// Removes one event that was recorded at `time`, if there is one.
+    pub fn remove(&mut self, time: Millis) {
+        if let Ok(index) = self.0.binary_search_by(|recorded| recorded.total_cmp(&time)) {
+            self.0.remove(index);
+        }
+    }
+
     /// The number of retained events after `start`, not including it.
     #[must_use]
     pub fn count_since(&self, start: Millis) -> usize {
--- a/crates/policy/tests/policy/exposure.rs
+++ b/crates/policy/tests/policy/exposure.rs
@@ -128,6 +128,39 @@
     }
 }
 
+/// Attempts that waited for a connection were allowed by requests that are no longer in the window when endpoints receive
+/// them: together with later attempts they would exceed the cap.
+#[rstest]
+#[case::short_delay(100.0)]
+#[case::late_connections(200.0)]
+#[case::later_connections(450.0)]
+fn attempts_written_late_stay_within_the_cap_in_every_window(#[case] write_delay: Millis) {
+    let mut config = TestConfig::default();
+    config.classes[0].latency_objective = 2000.0;
+    let served = move |_: &SentAttempt| (AttemptOutcome::Success, write_delay + 50.0);
+    let mut gateway = with_canary(config, 1, 0.5, served);
+    gateway.run_for(4000.0);
+    let mut received: Vec<Millis> = Vec::new();
+    for burst in 0..4 {
+        // The connections are late in every other burst.
+        gateway.write_delay = if burst % 2 == 0 { write_delay } else { 0.0 };
+        for _ in 0..60 {
+            received.push(gateway.now);
+            gateway.request("look", None);
+        }
+        gateway.run_for(2080.0);
+    }
+    let exposed = gateway.written.iter().filter(|(_, sent)| sent.version == Version(2));
+    let exposed: Vec<Millis> = exposed.map(|(at, _)| *at).filter(|at| *at >= received[0]).collect();
+    assert!(exposed.len() > 40, "the canary gets only {} attempts", exposed.len());
+    for last in &exposed {
+        let within = |at: &&Millis| **at > last - 2000.0 && **at <= *last;
+        let (written, arrived) =
+            (exposed.iter().filter(within).count(), received.iter().filter(within).count());
+        assert!(written as f64 <= 2.0 + 0.5 * arrived as f64, "{written} attempts for {arrived} requests");
+    }
+}
+
 /// Clients may use ever new keys: their number must not determine the memory, and none may return from the canary.
 #[test]
 fn new_keys_stay_with_the_baseline_once_the_recorded_ones_are_too_many() {
--- a/crates/policy/tests/policy/support/mod.rs
+++ b/crates/policy/tests/policy/support/mod.rs
@@ -44,6 +44,7 @@
     completes_at: Millis,
     attempt: SentAttempt,
     outcome: AttemptOutcome,
+    is_written: bool,
 }
 
 /// The policy of one gateway, with simulated endpoints and clients.
@@ -62,6 +63,8 @@
     deadlines: BTreeMap<RequestId, Millis>,
     events: Vec<Event>,
     pub(crate) sent: Vec<SentAttempt>,
+    /// The attempts that were written, with their time.
+    pub(crate) written: Vec<(Millis, SentAttempt)>,
     /// The attempts that were cancelled before they were written: the id of the request and the number.
     pub(crate) unwritten: Vec<(RequestId, u32)>,
     /// Rejections and failures of each request with their time; a correct policy returns at most one.
@@ -88,6 +91,7 @@
             deadlines: BTreeMap::new(),
             events: Vec::new(),
             sent: Vec::new(),
+            written: Vec::new(),
             unwritten: Vec::new(),
             unserved: BTreeMap::new(),
             succeeded: BTreeMap::new(),
@@ -212,6 +216,7 @@
 
     /// Runs one batch of events (those delivered, outcomes that are due, a timer) and performs the actions.
     pub(crate) fn step(&mut self) {
+        self.write_delayed();
         let mut events = std::mem::take(&mut self.events);
         let scheduled = std::mem::take(&mut self.scheduled);
         let (due, later) = scheduled.into_iter().partition(|scheduled| scheduled.completes_at <= self.now);
@@ -227,6 +232,25 @@
         self.now += STEP;
     }
 
+    /// Writes the attempts whose delay is over and that the policy confirms; ends the others as not sent.
+    fn write_delayed(&mut self) {
+        let now = self.now;
+        for scheduled in self.scheduled.iter_mut().filter(|scheduled| !scheduled.is_written) {
+            let attempt = &scheduled.attempt;
+            if now < attempt.sent_at + self.write_delay || scheduled.outcome == AttemptOutcome::NotSent {
+                continue;
+            }
+            scheduled.is_written = true;
+            if self.policy.confirm_attempt(attempt.id, attempt.number, now) {
+                self.written.push((now, attempt.clone()));
+            } else {
+                self.unwritten.push((attempt.id, attempt.number));
+                scheduled.outcome = AttemptOutcome::NotSent;
+                scheduled.completes_at = now;
+            }
+        }
+    }
+
     fn complete(&mut self, attempt: SentAttempt, outcome: AttemptOutcome) -> Event {
         let id = attempt.id;
         if outcome == AttemptOutcome::Success && !self.unserved.contains_key(&id) {
@@ -290,7 +314,11 @@
             outcome = AttemptOutcome::Timeout;
             completes_at = self.deadlines[&id];
         }
-        self.scheduled.push(ScheduledOutcome { completes_at, attempt: attempt.clone(), outcome });
+        let is_written = self.write_delay == 0.0;
+        if is_written {
+            self.written.push((self.now, attempt.clone()));
+        }
+        self.scheduled.push(ScheduledOutcome { completes_at, attempt: attempt.clone(), outcome, is_written });
         self.sent.push(attempt);
     }
 
