Large messages that are no queries retain no memory

Change: the reservation is released before the next wait for input.

Test, red without the change: large_messages::large_messages_that_are_no_queries_retain_no_memory (26 delayed in place of 0).

--- a/crates/cli/tests/gateway/large_messages.rs
+++ b/crates/cli/tests/gateway/large_messages.rs
@@ -4,7 +4,7 @@
 use latchhaven_test_support::fake_server::{FakeServer, ServerBehavior};
 use latchhaven_test_support::gateway::{Gateway, use_long_timeouts};
 use latchhaven_test_support::postgres::{
-    Client, SqlState, insert, insert_large, query, query_result, select,
+    Client, SqlState, insert, insert_large, message, query, query_result, select,
 };
 use latchhaven_test_support::wait::wait_until;
 use rstest::rstest;
@@ -119,6 +119,22 @@
     assert!(server.queries().iter().all(|query| query.text.contains(&digits)));
 }
 
+/// Guards against large messages that are no requests and retain their memory until their connection closes.
+#[test]
+fn large_messages_that_are_no_queries_retain_no_memory() {
+    let server = FakeServer::start(ServerBehavior::Succeed);
+    let gateway = gateway_with_memory(&server, 1);
+    let parse = [message(b'P', &vec![b'x'; 2 * STOPPED_VALUE_BYTES]), message(b'S', b"")].concat();
+    let mut clients = Vec::new();
+    for _ in 0..STOPPED_CLIENTS {
+        let mut client = gateway.client();
+        client.send(&parse);
+        assert!(query_result(&client.read_response()).is_err());
+        clients.push(client);
+    }
+    assert_eq!(gateway.counter("large_messages_delayed_total"), 0);
+}
+
 /// Guards against connections that retain the memory of a large request after its response.
 #[test]
 fn idle_connections_keep_no_memory_of_large_requests() {
--- a/crates/gateway/src/net/clients/reading.rs
+++ b/crates/gateway/src/net/clients/reading.rs
@@ -22,6 +22,8 @@
     /// # Errors
     /// The connection is lost.
     pub(super) async fn read_more(&mut self) -> io::Result<ReadOutcome> {
+        // The message that memory was reserved for is handled, and was no query that retains it.
+        self.input.large_message_memory = None;
         let progress = self.input_progress();
         let deadline = progress.deadline();
         // Checked first: the socket of a client that sends continuously is always readable.
