--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -304,7 +304,7 @@
     }
 
     /// Whether an attempt that has waited, for example for a connection, may be written now. If not, the adapter ends it
-    /// with [`AttemptOutcome::NotSent`].
+    /// with [`AttemptOutcome::NotSent`](crate::AttemptOutcome::NotSent).
     ///
     /// The rule on exposure counts attempts when endpoints receive them, so it is checked again: in the meantime the
     /// requests that allowed the attempt may have left the window, or the canary may have served its sticky key.
